--- /dev/null
+++ b/cmd/violetturn/main.go
@@ -0,0 +1,87 @@
+// Command violetturn runs one controller of the cluster scheduler.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"violetturn/internal/config"
+	"violetturn/internal/controller"
+)
+
+var version = "0.1.0"
+
+type cli struct {
+	Config  string           `help:"Settings file (TOML) that the platform hands over." required:"" type:"path" placeholder:"FILE"`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+	Serve   struct{}         `cmd:"" default:"1" help:"Run a controller (the default)."`
+	Check   struct{}         `cmd:"" help:"Check the settings and exit."`
+}
+
+// exitUsage is the exit code for bad settings or arguments: nothing was served.
+const exitUsage = 2
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var args cli
+	parser := kong.Must(&args, kong.Name("violetturn"), kong.Description("A cluster scheduler run as several controllers that share a state service."),
+		kong.Vars{"version": version}, kong.UsageOnError())
+	ctx, err := parser.Parse(os.Args[1:])
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "violetturn: %v\n", err)
+		return exitUsage
+	}
+	level, err := logLevel(os.Getenv("LOG_LEVEL"))
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "violetturn: %v\n", err)
+		return exitUsage
+	}
+	cfg, err := config.Load(args.Config)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "violetturn: %v\n", err)
+		return exitUsage
+	}
+	if ctx.Command() == "check" {
+		fmt.Printf("%s: in order\n", args.Config)
+		return 0
+	}
+	// One core's share and little memory: one running thread, and a collector
+	// that works harder before the limit instead of being killed at it.
+	runtime.GOMAXPROCS(max(1, int(cfg.Facts.Limits.Cores+0.5)))
+	debug.SetMemoryLimit(int64(cfg.Facts.Limits.MemoryMB * 0.7 * (1 << 20)))
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	c, err := controller.New(cfg, log)
+	if err != nil {
+		log.Error("not started", "err", err)
+		return 1
+	}
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	if err := c.Run(stop); err != nil {
+		log.Error("ended", "err", err)
+		return 1
+	}
+	return 0
+}
+
+func logLevel(s string) (slog.Level, error) {
+	switch strings.ToLower(s) {
+	case "", "info":
+		return slog.LevelInfo, nil
+	case "error":
+		return slog.LevelError, nil
+	case "debug":
+		return slog.LevelDebug, nil
+	}
+	return 0, fmt.Errorf("LOG_LEVEL: %q is none of error, info, debug", s)
+}
--- /dev/null
+++ b/internal/api/checkin.go
@@ -0,0 +1,97 @@
+package api
+
+import (
+	"encoding/json"
+	"errors"
+	"strconv"
+	"strings"
+)
+
+// Task states in reports.
+const (
+	Pulling = "pulling"
+	Saving  = "saving"
+	Ended   = "ended"
+)
+
+// Causes of a task's end.
+const (
+	CauseDone    = "done"
+	CauseStopped = "stopped"
+	CauseError   = "error"
+	CauseNoRoom  = "no_room"
+	CauseBusy    = "busy"
+	CauseUnknown = "unknown"
+)
+
+// PieceState is one task in a report.
+type PieceState struct {
+	Piece string `json:"piece"`
+	Try   uint64 `json:"try"`
+	Phase string `json:"phase"`
+	Cause string `json:"cause"`
+	Saved bool   `json:"saved"`
+}
+
+// Checkin is a worker's report.
+type Checkin struct {
+	Host    string       `json:"host"`
+	Addr    string       `json:"addr"`
+	Build   string       `json:"build"`
+	Site    string       `json:"site"`
+	Loaners bool         `json:"loaners"`
+	Tenure  uint64       `json:"tenure"`
+	Tick    uint64       `json:"tick"`
+	Baton   uint64       `json:"baton"`
+	RecallS *float64     `json:"recallS"`
+	Pieces  []PieceState `json:"pieces"`
+}
+
+// Newer tells whether c was made after the report (tenure, tick).
+func (c *Checkin) Newer(tenure, tick uint64) bool {
+	return c.Tenure > tenure || c.Tenure == tenure && c.Tick > tick
+}
+
+// ParseCheckin reads a report.
+func ParseCheckin(body []byte) (*Checkin, error) {
+	var c Checkin
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, err
+	}
+	if c.Host == "" || c.Tenure == 0 || len(c.Host) > 100 || strings.ContainsAny(c.Host, " /?&#%") {
+		return nil, errors.New("host or tenure missing")
+	}
+	return &c, nil
+}
+
+// Order is one command to a worker.
+type Order struct {
+	Verb    string   `json:"verb"`
+	Piece   string   `json:"piece"`
+	Try     uint64   `json:"try"`
+	LeewayS *float64 `json:"leewayS,omitempty"`
+}
+
+// Verbs of orders.
+const (
+	Launch = "launch"
+	Halt   = "halt"
+	Clear  = "clear"
+)
+
+// Orders answers a report, or goes to /commands (then with a tenure).
+type Orders struct {
+	Baton  uint64  `json:"baton"`
+	Tenure uint64  `json:"tenure,omitempty"`
+	Orders []Order `json:"orders"`
+}
+
+// PieceName names task i of a job.
+func PieceName(uid string, i int) string { return uid + "/" + strconv.Itoa(i) }
+
+// SplitPiece takes a task's name apart.
+func SplitPiece(s string) (uid string, i int, ok bool) {
+	uid, n, ok := strings.Cut(s, "/")
+	i, err := strconv.Atoi(n)
+	return uid, i, ok && err == nil && i >= 0 && i < MaxPieces
+}
--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,163 @@
+// Package cloud is the client of the cloud that rents machines.
+package cloud
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"time"
+
+	"violetturn/internal/httpwire"
+	"violetturn/internal/transport"
+)
+
+// Errors of the cloud.
+var (
+	ErrNoCapacity = errors.New("cloud has no capacity")
+	ErrTrouble    = errors.New("cloud in trouble")
+)
+
+// Flavor is a machine type.
+type Flavor struct {
+	Label       string   `json:"label"`
+	CPUs        float64  `json:"cpus"`
+	GPUs        float64  `json:"gpus"`
+	MemGB       float64  `json:"memGb"`
+	LocalGB     float64  `json:"localGb"`
+	PullGBPerS  float64  `json:"pullGbPerS"`
+	Price       float64  `json:"price"`
+	MarketPrice float64  `json:"marketPrice"`
+	StartupS    float64  `json:"startupS"`
+	Sites       []string `json:"sites"`
+}
+
+// Host is a rented machine as listed.
+type Host struct {
+	UID     string  `json:"uid"`
+	Addr    string  `json:"addr"`
+	Build   string  `json:"build"`
+	Site    string  `json:"site"`
+	Loaners bool    `json:"loaners"`
+	Phase   string  `json:"phase"`
+	HeldS   float64 `json:"heldS"`
+}
+
+// Rental asks for machines. Hire names the request and is never used again.
+type Rental struct {
+	Hire    string `json:"hire"`
+	Build   string `json:"build"`
+	Site    string `json:"site"`
+	Loaners bool   `json:"loaners"`
+	HowMany int    `json:"howMany"`
+}
+
+// MaxRental is the most machines one request may ask for; MaxReturn the most
+// that one may give back.
+const (
+	MaxRental = 50
+	MaxReturn = 100
+)
+
+// Client talks to the cloud within the controller's share of its rate.
+type Client struct {
+	http     *transport.Client
+	addr     string
+	deadline time.Duration
+	budget   *transport.Budget
+}
+
+// New makes a client.
+func New(h *transport.Client, addr string, deadline time.Duration, rps float64) *Client {
+	return &Client{http: h, addr: addr, deadline: deadline, budget: transport.NewBudget(rps, 2*rps)}
+}
+
+func (c *Client) do(ctx context.Context, method, target string, body, v any) error {
+	for {
+		d, ok := c.budget.Take(time.Now(), 1, 0)
+		if ok {
+			break
+		}
+		select {
+		case <-time.After(d):
+		case <-ctx.Done():
+			return ErrTrouble
+		}
+	}
+	var b []byte
+	if body != nil {
+		var err error
+		if b, err = json.Marshal(body); err != nil {
+			return fmt.Errorf("cloud request: %w", err)
+		}
+	}
+	m, err := c.http.Do(ctx, c.addr, method, target, b, c.deadline)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrTrouble, err)
+	}
+	return answer(m, v)
+}
+
+func answer(m *httpwire.Message, v any) error {
+	if m.Status == 200 {
+		if v == nil {
+			return nil
+		}
+		if err := json.Unmarshal(m.Body, v); err != nil {
+			return fmt.Errorf("cloud: %w", err)
+		}
+		return nil
+	}
+	var e struct {
+		Error string `json:"error"`
+	}
+	_ = json.Unmarshal(m.Body, &e) // an unreadable error counts as trouble
+	if m.Status == 503 && e.Error == "no capacity" {
+		return ErrNoCapacity
+	}
+	return fmt.Errorf("%w: status %d", ErrTrouble, m.Status)
+}
+
+// Flavors reads the machine types.
+func (c *Client) Flavors(ctx context.Context) ([]Flavor, error) {
+	var a struct {
+		Builds []Flavor `json:"builds"`
+	}
+	err := c.do(ctx, "GET", "/flavors", nil, &a)
+	return a.Builds, err
+}
+
+// Rent rents machines and gives their names.
+func (c *Client) Rent(ctx context.Context, r Rental) ([]string, error) {
+	var a struct {
+		Hosts []string `json:"hosts"`
+	}
+	err := c.do(ctx, "POST", "/rentals", r, &a)
+	return a.Hosts, err
+}
+
+// Return gives machines back. When it succeeds they are gone.
+func (c *Client) Return(ctx context.Context, hosts []string) error {
+	return c.do(ctx, "POST", "/rentals/return", map[string][]string{"hosts": hosts}, nil)
+}
+
+// List reads all rented machines.
+func (c *Client) List(ctx context.Context) ([]Host, error) {
+	var all []Host
+	since := ""
+	for {
+		var a struct {
+			Hosts     []Host `json:"hosts"`
+			Truncated bool   `json:"truncated"`
+		}
+		if err := c.do(ctx, "GET", "/rentals?since="+url.QueryEscape(since)+"&limit=500", nil, &a); err != nil {
+			return nil, err
+		}
+		all = append(all, a.Hosts...)
+		if !a.Truncated || len(a.Hosts) == 0 {
+			return all, nil
+		}
+		since = a.Hosts[len(a.Hosts)-1].UID
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,205 @@
+// Package config reads and checks the platform's settings file and the
+// operators' policy.
+package config
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Member is another controller.
+type Member struct {
+	HostName string `toml:"host_name"`
+	Site     string `toml:"site"`
+	Addr     string `toml:"addr"`
+}
+
+// Team is a team with its guarantee and limit; 0 means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Limited tells whether the team has a limit.
+func (t Team) Limited() bool { return t.CPUsMax > 0 || t.GPUsMax > 0 }
+
+// Objective restates one aim on starting and finishing.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+}
+
+// Settings is the platform's file. Unknown fields are ignored.
+type Settings struct {
+	HostName      string   `toml:"host_name"`
+	Site          string   `toml:"site"`
+	ServeOn       string   `toml:"serve_on"`
+	ClusterListen string   `toml:"cluster_listen"`
+	Members       []Member `toml:"members"`
+	External      struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"external"`
+	Facts struct {
+		Size        int         `toml:"size"`
+		Zones       []string    `toml:"zones"`
+		TimeBoundMS float64     `toml:"time_bound_ms"`
+		Teams       []Team      `toml:"teams"`
+		Objectives  []Objective `toml:"objectives"`
+		Workers     struct {
+			ReportS float64 `toml:"report_s"`
+			LeaseS  float64 `toml:"lease_s"`
+			CancelS float64 `toml:"cancel_s"`
+		} `toml:"workers"`
+		State struct {
+			RPS      float64 `toml:"rps"`
+			WriteRPS float64 `toml:"write_rps"`
+			ValueKB  float64 `toml:"value_kb"`
+			TxnOps   int     `toml:"txn_ops"`
+		} `toml:"state"`
+		Cloud struct {
+			RPS      float64 `toml:"rps"`
+			ListLagS float64 `toml:"list_lag_s"`
+		} `toml:"cloud"`
+		Limits struct {
+			Cores      float64 `toml:"cores"`
+			MemoryMB   float64 `toml:"memory_mb"`
+			MaxSockets int     `toml:"max_sockets"`
+		} `toml:"machine_limits"`
+	} `toml:"facts"`
+}
+
+// Load reads and checks a settings file. Its errors name file, field and
+// reason in one line.
+func Load(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s, err := Parse(b)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse reads and checks settings.
+func Parse(b []byte) (*Settings, error) {
+	var s Settings
+	if err := toml.Unmarshal(b, &s); err != nil {
+		return nil, fmt.Errorf("not valid: %w", err)
+	}
+	return &s, s.check()
+}
+
+func (s *Settings) check() error {
+	for _, f := range []struct{ name, v string }{{"host_name", s.HostName}, {"site", s.Site}} {
+		if f.v == "" {
+			return fmt.Errorf("%s: missing", f.name)
+		}
+	}
+	addrs := []struct{ name, v string }{{"serve_on", s.ServeOn}, {"cluster_listen", s.ClusterListen},
+		{"external.cloud", s.External.Cloud}, {"external.state", s.External.State}}
+	seen := map[string]bool{s.HostName: true}
+	for i, m := range s.Members {
+		if m.HostName == "" || seen[m.HostName] {
+			return fmt.Errorf("members[%d].host_name: missing or not unique", i)
+		}
+		seen[m.HostName] = true
+		addrs = append(addrs, struct{ name, v string }{fmt.Sprintf("members[%d].addr", i), m.Addr})
+	}
+	for _, a := range addrs {
+		if _, _, err := net.SplitHostPort(a.v); err != nil {
+			return fmt.Errorf("%s: %q is not host:port", a.name, a.v)
+		}
+	}
+	f := &s.Facts
+	if f.Size != len(s.Members)+1 {
+		return fmt.Errorf("facts.size: %d, but members name %d controllers with this one", f.Size, len(s.Members)+1)
+	}
+	if len(f.Zones) == 0 {
+		return fmt.Errorf("facts.zones: missing")
+	}
+	for _, p := range []struct {
+		name string
+		v    float64
+	}{{"facts.workers.report_s", f.Workers.ReportS}, {"facts.workers.lease_s", f.Workers.LeaseS}, {"facts.workers.cancel_s", f.Workers.CancelS},
+		{"facts.state.rps", f.State.RPS}, {"facts.state.write_rps", f.State.WriteRPS}, {"facts.state.value_kb", f.State.ValueKB},
+		{"facts.state.txn_ops", float64(f.State.TxnOps)}, {"facts.cloud.rps", f.Cloud.RPS},
+		{"facts.machine_limits.memory_mb", f.Limits.MemoryMB}, {"facts.machine_limits.max_sockets", float64(f.Limits.MaxSockets)}} {
+		if !(p.v > 0) || math.IsInf(p.v, 0) {
+			return fmt.Errorf("%s: must be a number above 0", p.name)
+		}
+	}
+	if f.State.TxnOps < 5 {
+		return fmt.Errorf("facts.state.txn_ops: %d, the service needs at least 5 changes in one transaction", f.State.TxnOps)
+	}
+	if f.Workers.ReportS >= f.Workers.LeaseS {
+		return fmt.Errorf("facts.workers.lease_s: must be longer than report_s")
+	}
+	teams := map[string]bool{}
+	for i, t := range f.Teams {
+		if t.Name == "" || teams[t.Name] {
+			return fmt.Errorf("facts.teams[%d].name: missing or not unique", i)
+		}
+		teams[t.Name] = true
+		for _, v := range []float64{t.CPUs, t.CPUsMax, t.GPUs, t.GPUsMax} {
+			if !(v >= 0) || math.IsInf(v, 0) {
+				return fmt.Errorf("facts.teams[%d]: amounts must be numbers of at least 0", i)
+			}
+		}
+	}
+	return nil
+}
+
+func secs(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
+
+// Lease is how long a worker runs on after its last answered report was sent.
+func (s *Settings) Lease() time.Duration { return secs(s.Facts.Workers.LeaseS) }
+
+// Report is how often a worker reports.
+func (s *Settings) Report() time.Duration { return secs(s.Facts.Workers.ReportS) }
+
+// drift widens a bound on another machine's clock: steady clocks differ by up
+// to 0.05 per cent (PROTOCOL), doubled for two of them, doubled again.
+const drift = 1.002
+
+// LeaseBound is when a worker's tasks are surely dead, counted on our clock
+// from the last answer it can have accepted.
+func (s *Settings) LeaseBound() time.Duration {
+	return time.Duration(float64(s.Lease())*drift) + s.Report()/8
+}
+
+// HoldTTL is the life of a controller's hold: two report rounds, so that
+// others take over before the workers' leases run out.
+func (s *Settings) HoldTTL() time.Duration {
+	return max(min(2*s.Report(), s.Lease()/3), 500*time.Millisecond)
+}
+
+// Grace is how long after its hold may have ended an owner still answers
+// reports when it can't reach the store. A cancellation it can't see must end
+// within cancel_s even so: hold, grace and lease together stay below that.
+func (s *Settings) Grace() time.Duration {
+	spare := secs(s.Facts.Workers.CancelS) - s.LeaseBound() - s.HoldTTL() - 2*s.Report()
+	return max(0, min(2*s.Lease(), spare))
+}
+
+// Team finds a team by name.
+func (s *Settings) Team(name string) (Team, bool) {
+	for _, t := range s.Facts.Teams {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return Team{}, false
+}
--- /dev/null
+++ b/internal/controller/owner.go
@@ -0,0 +1,298 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"violetturn/internal/api"
+	"violetturn/internal/part"
+	"violetturn/internal/store"
+)
+
+// holdLoop keeps this node's hold and with it the parts it owns.
+func (c *Controller) holdLoop(ctx context.Context) {
+	ttl := c.cfg.HoldTTL()
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		permit := c.permit
+		c.mu.Unlock()
+		sent := time.Now()
+		var err error
+		if permit == 0 {
+			if permit, err = c.store.Hold(ctx, ttl); err == nil {
+				c.log.Info("hold made", "permit", permit)
+				c.mu.Lock()
+				c.permit = permit
+				c.mu.Unlock()
+			}
+		} else if err = c.store.Touch(ctx, permit); errors.Is(err, store.ErrNoPermit) {
+			c.log.Info("hold lost", "permit", permit)
+			c.mu.Lock()
+			c.permit, c.validTil = 0, time.Time{}
+			clear(c.mine)
+			clear(c.sessions)
+			c.mu.Unlock()
+			continue
+		}
+		if err == nil {
+			c.mu.Lock()
+			// Our clock may run slow against the service's: count a little less.
+			c.validTil = sent.Add(ttl - ttl/256)
+			c.mu.Unlock()
+			c.tendParts(ctx)
+			sleep(ctx, ttl/4)
+		} else {
+			sleep(ctx, ttl/10)
+		}
+	}
+}
+
+// tendParts registers this node, takes parts without an owner and hands parts
+// back to their home controllers.
+func (c *Controller) tendParts(ctx context.Context) {
+	now := time.Now()
+	ttl := c.cfg.HoldTTL()
+	me := c.cfg.HostName
+	c.mu.Lock()
+	if !c.loaded {
+		c.mu.Unlock()
+		return
+	}
+	for p, o := range c.mine {
+		if v, ok := c.m.owns[p]; !ok || v.v.Inc != c.inc || v.v.Node != me {
+			if v.stamp > o.stamp || !ok {
+				c.log.Info("part lost", "part", p, "term", o.term)
+				c.dropPart(p)
+			}
+		}
+	}
+	n := c.m.nodes[me]
+	register := n.v == nil || n.v.Inc != c.inc
+	for _, x := range c.parts {
+		if c.m.nodes[x].v == nil {
+			delete(c.homeUp, x)
+		} else if _, ok := c.homeUp[x]; !ok {
+			c.homeUp[x] = now
+		}
+	}
+	var take, give []string
+	for _, p := range c.parts {
+		v, ok := c.m.owns[p]
+		if ok {
+			delete(c.absent, p)
+			o := c.mine[p]
+			switch {
+			case v.v.Node == me && v.v.Inc != c.inc: // our own earlier life: it is over
+				take = append(take, p)
+			case o != nil && o.bump:
+				take = append(take, p)
+			case o != nil && o.leaving: // its release is in doubt: again, until it shows
+				give = append(give, p)
+			case o != nil && p != me:
+				if up, ok := c.homeUp[p]; ok && now.Sub(up) > ttl/2 {
+					give = append(give, p)
+				}
+			}
+			continue
+		}
+		if _, ok := c.absent[p]; !ok {
+			c.absent[p] = now
+		}
+		if now.Sub(c.absent[p]) >= c.turn(p) {
+			take = append(take, p)
+		}
+	}
+	c.mu.Unlock()
+	if register {
+		t := newTxn()
+		t.write(nodeKey+me, part.Own{Node: me, Inc: c.inc})
+		t.permit[nodeKey+me] = c.permit
+		if _, _, err := c.commit(ctx, t, store.Hold); errors.Is(err, store.ErrNoPermit) {
+			return
+		}
+	}
+	for _, p := range give {
+		c.handBack(ctx, p)
+	}
+	for _, p := range take {
+		c.acquire(ctx, p)
+	}
+}
+
+// turn is how long this node waits before it takes a part without an owner: the
+// home controller goes first, then the others that live, in a ring order that
+// spreads several parts over several nodes. Call with the lock held.
+func (c *Controller) turn(p string) time.Duration {
+	if p == c.cfg.HostName {
+		return 0
+	}
+	wait := time.Duration(0)
+	step := c.cfg.HoldTTL() / 8
+	if c.m.nodes[p].v != nil || c.m.parts[p].v == nil {
+		wait = 8 * step // it lives, or is only now being started, and should come for it
+	}
+	start := 0
+	for i, x := range c.parts {
+		if x == p {
+			start = i
+		}
+	}
+	for k := 1; k < len(c.parts); k++ {
+		x := c.parts[(start+k)%len(c.parts)]
+		if x == c.cfg.HostName {
+			break
+		}
+		if c.m.nodes[x].v != nil {
+			wait += step
+		}
+	}
+	return wait
+}
+
+// acquire takes a part: its owner's key under our hold, and a term above all
+// that were ever given out, which is the part's baton.
+func (c *Controller) acquire(ctx context.Context, p string) {
+	me := c.cfg.HostName
+	c.mu.Lock()
+	old, had := c.m.owns[p]
+	rec := c.m.parts[p]
+	term := c.m.term + 1
+	t := newTxn()
+	t.guard(ownKey+p, old.stamp)
+	t.guard(termKey, c.m.stamps[termKey])
+	t.guard(partKey+p, rec.stamp)
+	t.write(termKey, term)
+	t.write(ownKey+p, part.Own{Node: me, Inc: c.inc, Term: term})
+	t.permit[ownKey+p] = c.permit
+	t.write(partKey+p, part.Record{Term: term, By: me, Free: map[string][3]float64{}})
+	// An earlier life of this process has ended, and one that released the part
+	// has stopped answering; any other may have gone on for its grace.
+	clean := rec.v == nil || rec.v.By == me || rec.v.Released
+	c.mu.Unlock()
+	done, _, err := c.commit(ctx, t, store.Hold)
+	if !done {
+		c.log.Debug("part not taken", "part", p, "err", err)
+		return
+	}
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v := c.m.owns[p]
+	if v.v == nil || v.v.Term != term || c.permit == 0 {
+		return // lost again already
+	}
+	c.dropPart(p)
+	o := &ownPart{term: term, stamp: v.stamp, answered: now}
+	if !clean {
+		o.answered = now.Add(c.cfg.Grace())
+	}
+	c.mine[p] = o
+	c.log.Info("part taken", "part", p, "term", term, "had_owner", had, "clean", clean)
+	for host, m := range c.m.hosts {
+		if m.v.Part == p {
+			c.session(host, o)
+			c.fence(ctx, host)
+		}
+	}
+	c.poke()
+}
+
+// dropPart forgets a part that is no longer ours. Call with the lock held.
+func (c *Controller) dropPart(p string) {
+	delete(c.mine, p)
+	for host := range c.sessions {
+		if m := c.m.hosts[host]; m.v == nil || m.v.Part == p {
+			delete(c.sessions, host)
+		}
+	}
+}
+
+// session gives the session of a machine of an own part. Call with the lock held.
+func (c *Controller) session(host string, o *ownPart) *part.Session {
+	s := c.sessions[host]
+	if s == nil || s.Term != o.term {
+		s = part.NewSession(o.term, o.answered)
+		c.sessions[host] = s
+	}
+	return s
+}
+
+// handBack gives a part back to its home controller in an orderly way: answers
+// stop first, then the release is committed.
+func (c *Controller) handBack(ctx context.Context, p string) {
+	c.mu.Lock()
+	o, rec := c.mine[p], c.m.parts[p]
+	if o == nil || rec.v == nil {
+		c.mu.Unlock()
+		return
+	}
+	o.leaving = true
+	t := newTxn()
+	t.guard(ownKey+p, o.stamp)
+	t.guard(partKey+p, rec.stamp)
+	t.drop(ownKey + p)
+	r := *rec.v
+	r.Released = true
+	t.write(partKey+p, r)
+	c.mu.Unlock()
+	done, _, err := c.commit(ctx, t, store.Hold)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if done {
+		c.log.Info("part handed back", "part", p, "term", o.term)
+		c.dropPart(p)
+		return
+	}
+	// In doubt it stays unanswered until the mirror shows who owns it.
+	if !errors.Is(err, store.ErrUnknown) {
+		o.leaving = false
+	}
+}
+
+// fence tells a worker our baton directly, so that an earlier owner's answers
+// are dropped from then on, and learns what runs there. Call with the lock held.
+func (c *Controller) fence(ctx context.Context, host string) {
+	m, s := c.m.hosts[host], c.sessions[host]
+	if m.v == nil || m.v.Addr == "" || s == nil || s.Fenced || time.Since(s.Asked) < c.cfg.Report() {
+		return
+	}
+	select {
+	case c.fencing <- struct{}{}:
+	default:
+		return // the next round asks again
+	}
+	s.Asked = time.Now()
+	term, addr := s.Term, m.v.Addr
+	go func() {
+		defer func() { <-c.fencing }()
+		tenure := uint64(1)
+		for range 2 {
+			r, _, err := c.workers.Command(ctx, addr, api.Orders{Baton: term, Tenure: tenure, Orders: []api.Order{}})
+			if err != nil {
+				c.log.Debug("fence", "host", host, "err", err)
+				return
+			}
+			c.mu.Lock()
+			if s := c.sessions[host]; s != nil && s.Term == term && r.Host == host {
+				c.accept(host, s, r)
+			}
+			c.mu.Unlock()
+			if r.Baton == term || r.Baton > term {
+				return
+			}
+			tenure = r.Tenure
+		}
+	}()
+}
+
+// accept takes in a report and looks at what it says. Call with the lock held.
+func (c *Controller) accept(host string, s *part.Session, r *api.Checkin) bool {
+	if !s.Accept(r) {
+		return false
+	}
+	s.Seen = time.Now()
+	delete(c.booting, host)
+	c.poke()
+	return true
+}
--- /dev/null
+++ b/internal/controller/rent.go
@@ -0,0 +1,294 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"violetturn/internal/cloud"
+	"violetturn/internal/part"
+	"violetturn/internal/sched"
+)
+
+// cloudLoop rents, lists and returns machines.
+func (c *Controller) cloudLoop(ctx context.Context) {
+	var flavorsAt, listAt time.Time
+	lag := time.Duration(c.cfg.Facts.Cloud.ListLagS * float64(time.Second))
+	inDoubt := map[sched.Offer]cloud.Rental{}
+	seen := map[string]time.Time{}
+	for ctx.Err() == nil {
+		now := time.Now()
+		if now.Sub(flavorsAt) > c.cfg.Lease()*2 {
+			if f, err := c.cloud.Flavors(ctx); err == nil {
+				flavorsAt = now
+				c.mu.Lock()
+				c.flavors = f
+				c.mu.Unlock()
+				c.poke()
+			} else {
+				c.log.Debug("machine types not read", "err", err)
+			}
+		}
+		c.rentRound(ctx, inDoubt)
+		if now.Sub(listAt) > max(lag, c.cfg.Report()) {
+			if l, err := c.cloud.List(ctx); err == nil {
+				listAt = now
+				c.listed(l, seen, lag)
+			}
+		}
+		c.returnRound(ctx)
+		sleep(ctx, c.cfg.Report()/3)
+	}
+}
+
+// offers lists what can be rented, less what was refused lately. Call with the
+// lock held.
+func (c *Controller) offers(now time.Time) []sched.Offer {
+	var out []sched.Offer
+	for _, f := range c.flavors {
+		cp := sched.Room{CPUs: f.CPUs, GPUs: f.GPUs, MemGB: f.MemGB}
+		for _, site := range f.Sites {
+			for _, o := range []sched.Offer{{Build: f.Label, Site: site, Cap: cp, Price: f.Price}, {Build: f.Label, Site: site, Loaners: true, Cap: cp, Price: f.MarketPrice}} {
+				if r, ok := c.refused[offerKey(o)]; !ok || now.After(r.until) {
+					out = append(out, o)
+				}
+			}
+		}
+	}
+	return out
+}
+
+func offerKey(o sched.Offer) string { return fmt.Sprintf("%s/%s/%t", o.Build, o.Site, o.Loaners) }
+
+// coming lists the machines rented for this node's parts that have not come up
+// yet. Call with the lock held.
+func (c *Controller) coming(now time.Time) []*sched.Host {
+	var out []*sched.Host
+	for host, m := range c.m.hosts {
+		if c.owned(m.v.For) == nil || len(c.m.onHost[host]) > 0 {
+			continue
+		}
+		cp, f := c.capOf(m.v.Build)
+		rec := c.m.parts[m.v.Part].v
+		if f == nil || rec == nil {
+			continue
+		}
+		if _, up := rec.Free[host]; up {
+			continue
+		}
+		if float64(now.UnixMilli()-m.v.AtMS)/1000 > 2*f.startupS {
+			continue // late: it may never come
+		}
+		out = append(out, &sched.Host{Name: host, Part: m.v.Part, Build: m.v.Build, Site: m.v.Site, Loaners: m.v.Loaners, Cap: cp, Free: cp})
+	}
+	return out
+}
+
+// rentRound rents for what lacks room after the machines that are coming.
+func (c *Controller) rentRound(ctx context.Context, inDoubt map[sched.Offer]cloud.Rental) {
+	now := time.Now()
+	c.mu.Lock()
+	p := c.plan(now)
+	var orders []sched.Order
+	mine := ""
+	var term uint64
+	if len(p.unmet) > 0 {
+		orders = sched.Plan(p.unmet, c.coming(now), c.offers(now), c.cfg.Site, c.partRoom()*len(c.parts)-len(c.m.hosts))
+		for _, x := range c.parts {
+			if o := c.owned(x); o != nil && (mine == "" || x == c.cfg.HostName) {
+				mine, term = x, o.term
+			}
+		}
+	}
+	c.mu.Unlock()
+	if mine == "" {
+		return
+	}
+	for _, o := range orders {
+		r, doubt := inDoubt[o.Offer]
+		if !doubt {
+			c.hires++
+			// Part, term and count: no other node or life ever uses this name.
+			r = cloud.Rental{Hire: fmt.Sprintf("%s-%d-%d", mine, term, c.hires), Build: o.Offer.Build, Site: o.Offer.Site, Loaners: o.Offer.Loaners, HowMany: min(o.Count, cloud.MaxRental)}
+		}
+		hosts, err := c.cloud.Rent(ctx, r)
+		key := offerKey(o.Offer)
+		c.mu.Lock()
+		switch {
+		case err == nil:
+			delete(inDoubt, o.Offer)
+			delete(c.refused, key)
+			c.log.Info("machines rented", "hire", r.Hire, "build", r.Build, "site", r.Site, "loaners", r.Loaners, "asked", r.HowMany, "hosts", hosts)
+			for _, h := range hosts {
+				c.adopt[h] = part.Machine{Build: r.Build, Site: r.Site, Loaners: r.Loaners, For: mine}
+			}
+			if len(hosts) < r.HowMany {
+				c.refuse(key, now)
+			}
+		case errors.Is(err, cloud.ErrNoCapacity):
+			delete(inDoubt, o.Offer)
+			c.log.Info("rental refused", "hire", r.Hire, "build", r.Build, "site", r.Site, "loaners", r.Loaners)
+			c.refuse(key, now)
+		default:
+			inDoubt[o.Offer] = r // repeated under its name
+			c.log.Info("rental in doubt", "hire", r.Hire, "err", err)
+		}
+		c.mu.Unlock()
+		if err != nil && !errors.Is(err, cloud.ErrNoCapacity) {
+			return
+		}
+	}
+	if len(orders) > 0 {
+		c.recordStrangers(ctx)
+	}
+}
+
+// refuse keeps an offer from being asked for again at once, ever longer. Call
+// with the lock held.
+func (c *Controller) refuse(key string, now time.Time) {
+	r := c.refused[key]
+	r.wait = min(max(2*r.wait, c.cfg.Report()), 4*c.cfg.Lease())
+	r.until = now.Add(r.wait)
+	c.refused[key] = r
+}
+
+// listed takes in the cloud's list. It is late and may be older than the last
+// one, so it only raises questions; a return answers them.
+func (c *Controller) listed(l []cloud.Host, seen map[string]time.Time, lag time.Duration) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	in := map[string]bool{}
+	for _, h := range l {
+		in[h.UID] = true
+		m := c.m.hosts[h.UID]
+		if m.v == nil {
+			// Perhaps just rented by a peer, or just returned and still listed.
+			if first, ok := seen[h.UID]; !ok {
+				seen[h.UID] = now
+			} else if now.Sub(first) > 4*lag && h.Phase != "failed" {
+				c.stranger(h.UID, part.Machine{Build: h.Build, Site: h.Site, Loaners: h.Loaners, Addr: h.Addr})
+			}
+			continue
+		}
+		delete(seen, h.UID)
+		if m.v.Addr == "" {
+			m.v.Addr = h.Addr
+		}
+		if o := c.owned(m.v.Part); o != nil {
+			s := c.session(h.UID, o)
+			s.Listed, s.Missing = true, 0
+			if h.Phase == "failed" && !s.Drain {
+				c.log.Info("machine failed", "host", h.UID)
+				s.Drain, s.Missing = true, 2
+			}
+		}
+	}
+	for h := range seen {
+		if !in[h] {
+			delete(seen, h)
+		}
+	}
+	for host, s := range c.sessions {
+		if s.Listed && !in[host] {
+			s.Missing++
+		}
+	}
+}
+
+// returnRound decides which machines go back and returns them.
+func (c *Controller) returnRound(ctx context.Context) {
+	now := time.Now()
+	c.mu.Lock()
+	if !c.canAct(now) {
+		c.mu.Unlock()
+		return
+	}
+	var back []string
+	for host, m := range c.m.hosts {
+		o := c.owned(m.v.Part)
+		rec := c.m.parts[m.v.Part].v
+		if o == nil || rec == nil {
+			continue
+		}
+		s := c.session(host, o)
+		if s.Gone {
+			continue
+		}
+		if !s.Fenced {
+			c.fence(ctx, host)
+		}
+		c.judge(host, m.v, s, now)
+		_, offered := rec.Free[host]
+		silent := now.Sub(s.Seen) > 2*c.cfg.Report()
+		switch {
+		case s.Missing >= 2 && silent: // gone, says the list; the return proves it
+			back = append(back, host)
+		case s.Drain && !offered && len(c.m.onHost[host]) == 0:
+			back = append(back, host)
+		}
+	}
+	slices.Sort(back)
+	back = back[:min(len(back), cloud.MaxReturn)]
+	c.mu.Unlock()
+	if len(back) == 0 {
+		return
+	}
+	if err := c.cloud.Return(ctx, back); err != nil {
+		c.log.Info("machines not returned", "hosts", back, "err", err)
+		return
+	}
+	c.mu.Lock()
+	for _, h := range back {
+		if s := c.sessions[h]; s != nil {
+			s.Gone = true
+		}
+		if m := c.m.hosts[h]; m.v != nil {
+			c.http.Forget(m.v.Addr)
+		}
+	}
+	c.mu.Unlock()
+	c.log.Info("machines returned", "hosts", back)
+	c.poke()
+}
+
+// judge decides whether a machine is to be returned. Call with the lock held.
+func (c *Controller) judge(host string, m *part.Machine, s *part.Session, now time.Time) {
+	_, f := c.capOf(m.Build)
+	if f == nil || s.Drain {
+		return
+	}
+	startup := time.Duration(f.startupS * float64(time.Second))
+	drain := func(why string) {
+		s.Drain = true
+		c.log.Info("machine drained", "host", host, "why", why)
+		c.poke()
+	}
+	if !s.Fenced {
+		if _, ok := c.booting[host]; !ok {
+			c.booting[host] = now
+		}
+		if now.Sub(c.booting[host]) > 4*startup+c.cfg.Lease() {
+			drain("never came up")
+		}
+		return
+	}
+	if s.Dark {
+		if now.Sub(s.Answered) > 2*c.cfg.LeaseBound() {
+			drain("silent for long")
+		}
+		return
+	}
+	if len(c.m.onHost[host]) > 0 || s.Report != nil && len(s.Report.Pieces) > 0 {
+		s.Idle = time.Time{}
+		return
+	}
+	if s.Idle.IsZero() {
+		s.Idle = now
+	}
+	if now.Sub(s.Idle) > startup {
+		drain("idle")
+	}
+}
--- /dev/null
+++ b/internal/controller/state.go
@@ -0,0 +1,350 @@
+package controller
+
+import (
+	"encoding/json"
+	"log/slog"
+	"strconv"
+	"strings"
+
+	"violetturn/internal/api"
+	"violetturn/internal/job"
+	"violetturn/internal/part"
+	"violetturn/internal/sched"
+	"violetturn/internal/store"
+)
+
+// Keys of the state service. All that lives is below live/, which every
+// controller mirrors; a job that is over leaves one record below past/, which
+// is read when it is asked for.
+const (
+	live    = "live/"
+	jobKey  = live + "j/" // + uid: main record
+	taskKey = live + "t/" // + uid/chunk
+	partKey = live + "p/" // + part: free-room record
+	ownKey  = live + "o/" // + part: owner, under its hold
+	nodeKey = live + "n/" // + node: alive, under its hold
+	hostKey = live + "m/" // + host: machine
+	teamKey = live + "q/" // + team's place in the settings: usage
+	termKey = live + "term"
+	pastKey = "past/" // + uid
+)
+
+// value is a record as mirrored, with its version.
+type value[T any] struct {
+	v     *T
+	stamp uint64
+}
+
+// liveJob is a job with its chunks.
+type liveJob struct {
+	main   *job.Main
+	stamp  uint64
+	chunks map[int]value[job.Chunk]
+}
+
+// mirror is this controller's copy of what lives in the state service. It is a
+// cache: every decision that rests on it is committed under guards on the
+// versions it rests on.
+type mirror struct {
+	log    *slog.Logger
+	epoch  uint64            // all changes up to here are in
+	stamps map[string]uint64 // of present keys
+	tombs  map[string]uint64 // of keys dropped at revisions that the watch has yet to reach
+	jobs   map[string]*liveJob
+	orphan map[string]map[int]value[job.Chunk] // chunks whose main record is not here
+	parts  map[string]value[part.Record]
+	owns   map[string]value[part.Own]
+	nodes  map[string]value[part.Own]
+	hosts  map[string]value[part.Machine]
+	teams  map[string]value[part.Usage]
+	term   uint64
+	onHost map[string]map[string]*placed // host -> task -> place
+}
+
+// placed is one placement, found by its machine.
+type placed struct {
+	uid   string
+	chunk int
+	index int // within the chunk
+	p     *job.Place
+}
+
+func newMirror(log *slog.Logger) *mirror {
+	return &mirror{log: log, stamps: map[string]uint64{}, tombs: map[string]uint64{}, jobs: map[string]*liveJob{},
+		orphan: map[string]map[int]value[job.Chunk]{}, parts: map[string]value[part.Record]{}, owns: map[string]value[part.Own]{},
+		nodes: map[string]value[part.Own]{}, hosts: map[string]value[part.Machine]{}, teams: map[string]value[part.Usage]{},
+		onHost: map[string]map[string]*placed{}}
+}
+
+// apply takes in one change; raw is nil for a drop. Changes reach the mirror
+// from own commits, from the watch and from barriers, in no common order, so
+// each key moves only forward.
+func (m *mirror) apply(key string, raw json.RawMessage, stamp uint64) {
+	if stamp <= m.stamps[key] || stamp <= m.tombs[key] || !strings.HasPrefix(key, live) {
+		return
+	}
+	if raw == nil {
+		delete(m.stamps, key)
+		if stamp > m.epoch {
+			m.tombs[key] = stamp
+		}
+	} else {
+		m.stamps[key] = stamp
+		delete(m.tombs, key)
+	}
+	if key == termKey {
+		m.term = 0
+		_ = json.Unmarshal(raw, &m.term) // a term that can't be read fails the guard of its next use
+		return
+	}
+	if len(key) < len(jobKey) {
+		return
+	}
+	kind, id := key[:len(jobKey)], key[len(jobKey):]
+	var err error
+	switch kind {
+	case jobKey:
+		err = m.applyJob(id, raw, stamp)
+	case taskKey:
+		err = m.applyChunk(id, raw, stamp)
+	case partKey:
+		err = set(m.parts, id, raw, stamp)
+	case ownKey:
+		err = set(m.owns, id, raw, stamp)
+	case nodeKey:
+		err = set(m.nodes, id, raw, stamp)
+	case hostKey:
+		err = set(m.hosts, id, raw, stamp)
+	case teamKey:
+		err = set(m.teams, id, raw, stamp)
+	}
+	if err != nil {
+		m.log.Error("record can't be read", "key", key, "err", err)
+	}
+}
+
+func set[T any](to map[string]value[T], id string, raw json.RawMessage, stamp uint64) error {
+	if raw == nil {
+		delete(to, id)
+		return nil
+	}
+	v := new(T)
+	if err := json.Unmarshal(raw, v); err != nil {
+		return err
+	}
+	to[id] = value[T]{v, stamp}
+	return nil
+}
+
+func (m *mirror) applyJob(uid string, raw json.RawMessage, stamp uint64) error {
+	if raw == nil {
+		if j := m.jobs[uid]; j != nil {
+			if len(j.chunks) > 0 {
+				m.orphan[uid] = j.chunks // their drops follow
+			}
+			delete(m.jobs, uid)
+		}
+		return nil
+	}
+	v, err := job.ParseMain(raw)
+	if err != nil {
+		return err
+	}
+	j := m.jobs[uid]
+	if j == nil {
+		j = &liveJob{chunks: map[int]value[job.Chunk]{}}
+		if o := m.orphan[uid]; o != nil {
+			j.chunks = o
+			delete(m.orphan, uid)
+		}
+		m.jobs[uid] = j
+	}
+	j.main, j.stamp = v, stamp
+	return nil
+}
+
+func (m *mirror) applyChunk(id string, raw json.RawMessage, stamp uint64) error {
+	uid, ns, _ := strings.Cut(id, "/")
+	n, err := strconv.Atoi(ns)
+	if err != nil {
+		return err
+	}
+	var c *job.Chunk
+	if raw != nil {
+		if c, err = job.ParseChunk(raw); err != nil {
+			return err
+		}
+	}
+	var chunks map[int]value[job.Chunk]
+	if j := m.jobs[uid]; j != nil {
+		chunks = j.chunks
+	} else if chunks = m.orphan[uid]; chunks == nil {
+		chunks = map[int]value[job.Chunk]{}
+		m.orphan[uid] = chunks
+	}
+	if old := chunks[n].v; old != nil {
+		for i, p := range old.Places {
+			m.unplace(uid, n, i, p)
+		}
+	}
+	if c == nil {
+		delete(chunks, n)
+		if len(m.orphan[uid]) == 0 {
+			delete(m.orphan, uid)
+		}
+		return nil
+	}
+	chunks[n] = value[job.Chunk]{c, stamp}
+	for i, p := range c.Places {
+		on := m.onHost[p.Host]
+		if on == nil {
+			on = map[string]*placed{}
+			m.onHost[p.Host] = on
+		}
+		on[taskID(uid, n, i)] = &placed{uid, n, i, p}
+	}
+	return nil
+}
+
+// taskID names a placement within this process; the task's own name needs the
+// chunk size, which an orphan chunk does not know.
+func taskID(uid string, chunk, i int) string {
+	return uid + "/" + strconv.Itoa(chunk) + "/" + strconv.Itoa(i)
+}
+
+func (m *mirror) unplace(uid string, n, i int, p *job.Place) {
+	on := m.onHost[p.Host]
+	delete(on, taskID(uid, n, i))
+	if len(on) == 0 {
+		delete(m.onHost, p.Host)
+	}
+}
+
+// advance notes that all changes up to epoch have been applied.
+func (m *mirror) advance(epoch uint64) {
+	if epoch <= m.epoch {
+		return
+	}
+	m.epoch = epoch
+	for k, s := range m.tombs {
+		if s <= epoch {
+			delete(m.tombs, k)
+		}
+	}
+}
+
+// reload takes in a full list whose first page was of revision epoch.
+func (m *mirror) reload(items []store.Item, epoch uint64) {
+	present := make(map[string]bool, len(items))
+	for _, it := range items {
+		present[it.Key] = true
+		m.apply(it.Key, it.Value, it.Stamp)
+	}
+	for k, s := range m.stamps {
+		if !present[k] && s <= epoch {
+			m.apply(k, nil, max(epoch, s+1))
+		}
+	}
+	m.advance(epoch)
+}
+
+// name is the task's name on the wire.
+func (pl *placed) name(j *liveJob) string {
+	return api.PieceName(pl.uid, pl.chunk*j.main.Chunk+pl.index)
+}
+
+// need is the room that a task of the job takes.
+func need(r *api.Run) sched.Room { return sched.Room{CPUs: r.CPUs, GPUs: r.GPUs, MemGB: r.MemGB} }
+
+// stateOf tells users of a living job.
+func (j *liveJob) stateOf() api.State {
+	s := api.State{UID: j.main.Run.UID, Phase: api.Pending, Done: j.main.FinishedTasks()}
+	for n, c := range j.chunks {
+		if !j.main.Finished(n) {
+			s.Done += c.v.DoneCount()
+		}
+		s.Running += len(c.v.Places)
+	}
+	switch {
+	case j.main.Gone:
+		s.Phase = api.Withdrawn
+	case s.Running > 0:
+		s.Phase = api.Running
+	}
+	return s
+}
+
+// txn collects a transaction with what to tell the mirror when it commits.
+type txn struct {
+	guards map[string]uint64
+	writes map[string]json.RawMessage
+	permit map[string]uint64
+	drops  map[string]bool
+	order  []string
+}
+
+func newTxn() *txn {
+	return &txn{guards: map[string]uint64{}, writes: map[string]json.RawMessage{}, permit: map[string]uint64{}, drops: map[string]bool{}}
+}
+
+func (t *txn) guard(key string, stamp uint64) { t.guards[key] = stamp }
+
+func (t *txn) write(key string, v any) {
+	if _, ok := t.writes[key]; !ok {
+		t.order = append(t.order, key)
+	}
+	t.writes[key] = api.JSON(v)
+}
+
+func (t *txn) drop(key string) {
+	if !t.drops[key] {
+		t.order = append(t.order, key)
+	}
+	t.drops[key] = true
+	delete(t.writes, key)
+}
+
+// ops is the number of changes so far.
+func (t *txn) ops() int {
+	n := 0
+	for _, k := range t.order {
+		if t.drops[k] || t.writes[k] != nil {
+			n++
+		}
+	}
+	return n
+}
+
+func (t *txn) wire() *store.Txn {
+	w := &store.Txn{Guards: []store.Guard{}, Then: []store.Op{}}
+	for k, s := range t.guards {
+		w.Guards = append(w.Guards, store.Guard{Key: k, Stamp: s})
+	}
+	seen := map[string]bool{}
+	for _, k := range t.order {
+		if seen[k] {
+			continue
+		}
+		seen[k] = true
+		if t.drops[k] {
+			w.Then = append(w.Then, store.Op{Drop: k})
+		} else if v := t.writes[k]; v != nil {
+			op := store.Op{Write: k, Value: v}
+			if p, ok := t.permit[k]; ok {
+				op.Permit = &p
+			}
+			w.Then = append(w.Then, op)
+		}
+	}
+	return w
+}
+
+// applied takes a committed transaction into the mirror.
+func (m *mirror) applied(t *txn, epoch uint64) {
+	for k, v := range t.writes {
+		m.apply(k, v, epoch)
+	}
+	for k := range t.drops {
+		m.apply(k, nil, epoch)
+	}
+}
--- /dev/null
+++ b/internal/controller/users.go
@@ -0,0 +1,351 @@
+package controller
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"violetturn/internal/api"
+	"violetturn/internal/httpwire"
+	"violetturn/internal/job"
+	"violetturn/internal/sched"
+	"violetturn/internal/store"
+	"violetturn/internal/transport"
+)
+
+// handle routes a request. It runs in the event loop.
+func (c *Controller) handle(req *httpwire.Message, later func(transport.Response)) (transport.Response, bool) {
+	path, _, _ := strings.Cut(req.Target, "?")
+	method := func(want string, f func(context.Context) transport.Response) (transport.Response, bool) {
+		if req.Method != want {
+			return reply(405, map[string]string{"error": "method not allowed"}), true
+		}
+		// Users wait their turn in a bounded line; beyond it they are told at
+		// once to come back.
+		select {
+		case c.users <- struct{}{}:
+		default:
+			return errBusy, true
+		}
+		go func() {
+			defer func() { <-c.users }()
+			ctx, cancel := context.WithTimeout(context.Background(), userPatience)
+			defer cancel()
+			later(f(ctx))
+		}()
+		return transport.Response{}, false
+	}
+	switch {
+	case path == "/checkin":
+		if req.Method != "POST" {
+			return reply(405, map[string]string{"error": "method not allowed"}), true
+		}
+		return c.checkin(req), true
+	case path == "/healthz":
+		if req.Method != "GET" {
+			return reply(405, map[string]string{"error": "method not allowed"}), true
+		}
+		return c.health(), true
+	case path == "/v2/runs":
+		return method("POST", func(ctx context.Context) transport.Response { return c.submit(ctx, req.Body) })
+	}
+	if id, ok := strings.CutPrefix(path, "/v2/runs/"); ok {
+		if uid, ok := strings.CutSuffix(id, "/cancel"); ok {
+			return method("POST", func(ctx context.Context) transport.Response { return c.cancel(ctx, uid) })
+		}
+		if !strings.Contains(id, "/") {
+			return method("GET", func(ctx context.Context) transport.Response { return c.query(ctx, id) })
+		}
+	}
+	return reply(404, map[string]string{"error": "no such path"}), true
+}
+
+// userPatience bounds the work on one request: users wait 2 s for a poll and
+// 5 s for a submission (PROTOCOL), and are answered before that.
+const userPatience = 1800 * time.Millisecond
+
+func (c *Controller) health() transport.Response {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.loaded {
+		return errBusy
+	}
+	return reply(200, map[string]string{"node": c.cfg.HostName})
+}
+
+// known finds what is committed of a job: its state, or that it does not exist.
+// The mirror is brought up to now first, so no other node can have told the
+// user something newer before the question was asked.
+func (c *Controller) known(ctx context.Context, uid string) (api.State, bool, error) {
+	c.mu.Lock()
+	p, over := c.past[uid]
+	c.mu.Unlock()
+	if over { // final, whatever else happened
+		return api.State{UID: uid, Phase: p.Phase, Done: p.Done}, true, nil
+	}
+	if err := c.fresh(ctx); err != nil {
+		return api.State{}, false, err
+	}
+	c.mu.Lock()
+	if j := c.m.jobs[uid]; j != nil {
+		s := j.stateOf()
+		c.mu.Unlock()
+		return s, true, nil
+	}
+	c.mu.Unlock()
+	it, found, err := c.store.Get(ctx, pastKey+uid, store.Submission)
+	if err != nil || !found {
+		return api.State{}, false, err
+	}
+	if err := unmarshal(it.Value, &p); err != nil {
+		return api.State{}, false, err
+	}
+	c.mu.Lock()
+	c.remember(uid, p)
+	c.mu.Unlock()
+	return api.State{UID: uid, Phase: p.Phase, Done: p.Done}, true, nil
+}
+
+func (c *Controller) query(ctx context.Context, uid string) transport.Response {
+	if !api.ValidUID(uid) {
+		return reply(404, map[string]string{"error": "no such run"})
+	}
+	s, found, err := c.known(ctx, uid)
+	switch {
+	case err != nil:
+		return errBusy
+	case !found:
+		return reply(404, map[string]string{"error": "no such run"})
+	}
+	return reply(200, s)
+}
+
+// accept is a submission on its way to the store.
+type accept struct {
+	ctx  context.Context
+	main *job.Main
+	out  chan transport.Response
+}
+
+func (c *Controller) submit(ctx context.Context, body []byte) transport.Response {
+	r, err := api.ParseRun(body)
+	if err != nil {
+		// A known job is answered with its state before anything is judged.
+		if uid, ok := api.UIDOf(body); ok {
+			s, found, kerr := c.known(ctx, uid)
+			if kerr != nil {
+				return errBusy
+			}
+			if found {
+				return reply(200, s)
+			}
+		}
+		return reply(400, map[string]string{"error": err.Error()})
+	}
+	c.mu.Lock()
+	flavors := c.flavors
+	_, live := c.m.jobs[r.UID]
+	c.mu.Unlock()
+	why, undecided := "", len(flavors) == 0
+	if !undecided {
+		why = c.never(r)
+	}
+	if live || why != "" || undecided {
+		s, found, err := c.known(ctx, r.UID)
+		switch {
+		case err != nil || undecided && !found:
+			return errBusy
+		case found:
+			return reply(200, s)
+		case why != "":
+			return reply(422, map[string]string{"error": why})
+		}
+	}
+	m := &job.Main{Run: *r, Part: c.cfg.HostName, AtMS: time.Now().UnixMilli(), Chunk: job.ChunkSize(c.cfg.Facts.State.ValueKB)}
+	if float64(len(api.JSON(m))) > c.cfg.Facts.State.ValueKB*1024*7/8 { // room for what is added later
+		return reply(400, map[string]string{"error": "submission too long"})
+	}
+	a := &accept{ctx: ctx, main: m, out: make(chan transport.Response, 1)}
+	select {
+	case c.accepts <- a:
+	default:
+		return errBusy
+	}
+	select {
+	case resp := <-a.out:
+		return resp
+	case <-ctx.Done():
+		return errBusy
+	}
+}
+
+// never tells why a job can never run, "" if it can.
+func (c *Controller) never(r *api.Run) string {
+	team, ok := c.cfg.Team(r.Owner)
+	if !ok {
+		return "unknown team"
+	}
+	k := 1.0
+	if r.Shape == api.Daemon {
+		k = float64(r.Pieces)
+	}
+	if team.CPUsMax > 0 && r.CPUs*k > team.CPUsMax+1e-6 || team.GPUsMax > 0 && r.GPUs*k > team.GPUsMax+1e-6 {
+		return "more than the team's limit"
+	}
+	ask := askOf(r)
+	sites := map[string]bool{}
+	c.mu.Lock()
+	for _, f := range c.flavors {
+		cp := sched.Room{CPUs: f.CPUs, GPUs: f.GPUs, MemGB: f.MemGB}
+		for _, s := range f.Sites {
+			if cp.Fits(ask.Need) && ask.Allows(f.Label, s, false) {
+				sites[s] = true
+			}
+		}
+	}
+	c.mu.Unlock()
+	switch {
+	case len(sites) == 0:
+		return "fits no allowed machine type"
+	case r.Scatter && r.Pieces > 1 && (len(sites) == 1 || r.Together):
+		return "can't be scattered"
+	}
+	return ""
+}
+
+func askOf(r *api.Run) sched.Ask {
+	return sched.Ask{Need: need(r), Builds: r.Builds, Site: r.Site, Loaners: r.Loaners, Bundle: r.Bundle}
+}
+
+// acceptLoop commits submissions, several in one transaction when they come
+// together.
+func (c *Controller) acceptLoop(ctx context.Context) {
+	for {
+		var batch []*accept
+		select {
+		case a := <-c.accepts:
+			batch = append(batch, a)
+		case <-ctx.Done():
+			return
+		}
+		// Half of what a transaction takes, so that one batch does not use up
+		// the writes that decisions need.
+		for more := true; more && len(batch) < max(1, c.cfg.Facts.State.TxnOps/2); {
+			select {
+			case a := <-c.accepts:
+				if !sameUID(batch, a) {
+					batch = append(batch, a)
+				} else {
+					a.out <- errBusy
+				}
+			default:
+				more = false
+			}
+		}
+		c.acceptBatch(ctx, batch)
+	}
+}
+
+func sameUID(batch []*accept, a *accept) bool {
+	for _, b := range batch {
+		if b.main.Run.UID == a.main.Run.UID {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Controller) acceptBatch(ctx context.Context, batch []*accept) {
+	for len(batch) > 0 {
+		t := newTxn()
+		for _, a := range batch {
+			uid := a.main.Run.UID
+			t.guard(jobKey+uid, 0)
+			t.guard(pastKey+uid, 0)
+			t.write(jobKey+uid, a.main)
+		}
+		done, failed, err := c.commit(ctx, t, store.Submission)
+		if done {
+			for _, a := range batch {
+				uid := a.main.Run.UID
+				c.log.Info("job accepted", "job", uid, "lane", a.main.Run.Lane, "owner", a.main.Run.Owner, "rank", a.main.Run.Rank, "tasks", a.main.Run.Pieces)
+				a.out <- reply(201, map[string]string{"uid": uid, "phase": api.Pending})
+			}
+			c.poke()
+			return
+		}
+		var rest []*accept
+		for _, a := range batch {
+			uid := a.main.Run.UID
+			if err == nil && !contains(failed, jobKey+uid) && !contains(failed, pastKey+uid) {
+				rest = append(rest, a)
+				continue
+			}
+			// Known already, or the outcome is in doubt: only reading settles it.
+			go func() {
+				if s, found, kerr := c.known(a.ctx, uid); kerr == nil && found {
+					a.out <- reply(200, s)
+				} else {
+					a.out <- errBusy
+				}
+			}()
+		}
+		if err == nil && len(rest) == len(batch) {
+			for _, a := range rest {
+				a.out <- errBusy
+			}
+			return
+		}
+		batch = rest
+	}
+}
+
+func contains(l []string, s string) bool {
+	for _, x := range l {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// cancel commits the withdrawal and then says so. Any node can do it: a start
+// is committed under a guard on the same record.
+func (c *Controller) cancel(ctx context.Context, uid string) transport.Response {
+	if !api.ValidUID(uid) {
+		return reply(404, map[string]string{"error": "no such run"})
+	}
+	for range 4 {
+		s, found, err := c.known(ctx, uid)
+		switch {
+		case err != nil:
+			return errBusy
+		case !found:
+			return reply(404, map[string]string{"error": "no such run"})
+		case s.Phase == api.Done || s.Phase == api.Withdrawn:
+			return reply(200, map[string]string{"uid": uid, "phase": s.Phase})
+		}
+		c.mu.Lock()
+		j := c.m.jobs[uid]
+		if j == nil || j.main.Gone {
+			c.mu.Unlock()
+			continue
+		}
+		t := newTxn()
+		t.guard(jobKey+uid, j.stamp)
+		m := j.main.Copy()
+		m.Gone = true
+		t.write(jobKey+uid, m)
+		c.mu.Unlock()
+		done, _, err := c.commit(ctx, t, store.Decision)
+		if err != nil {
+			return errBusy
+		}
+		if done {
+			c.log.Info("job withdrawn", "job", uid)
+			c.poke()
+			return reply(200, map[string]string{"uid": uid, "phase": api.Withdrawn})
+		}
+	}
+	return errBusy
+}
--- /dev/null
+++ b/internal/httpwire/httpwire_test.go
@@ -0,0 +1,142 @@
+package httpwire
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// parse feeds a stream in the given pieces and gives all messages.
+func parse(p *Parser, pieces []string) ([]*Message, error) {
+	var out []*Message
+	for _, s := range pieces {
+		p.Feed([]byte(s))
+		for {
+			m, err := p.Next()
+			if err != nil {
+				return out, err
+			}
+			if m == nil {
+				break
+			}
+			out = append(out, m)
+		}
+	}
+	return out, nil
+}
+
+func split(t *rapid.T, s string) []string {
+	var out []string
+	for len(s) > 0 {
+		n := rapid.IntRange(1, min(len(s), 40)).Draw(t, "piece")
+		out = append(out, s[:n])
+		s = s[n:]
+	}
+	return out
+}
+
+// Any split of a valid stream parses alike, in both directions.
+func TestAnySplitParsesAlike(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var stream strings.Builder
+		var want []*Message
+		response := rapid.Bool().Draw(t, "response")
+		for range rapid.IntRange(1, 4).Draw(t, "messages") {
+			body := rapid.StringN(0, 80, 200).Draw(t, "body")
+			m := &Message{}
+			if response {
+				m.Status = rapid.SampledFrom([]int{200, 201, 404, 503}).Draw(t, "status")
+				fmt.Fprintf(&stream, "HTTP/1.1 %d What Ever\r\n", m.Status)
+			} else {
+				m.Method, m.Target = "POST", "/a/b?c=d"
+				stream.WriteString("POST /a/b?c=d HTTP/1.1\r\nHost:  x \r\n")
+			}
+			if rapid.Bool().Draw(t, "chunked") {
+				stream.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+				for rest := body; rest != ""; {
+					n := rapid.IntRange(1, len(rest)).Draw(t, "chunk")
+					fmt.Fprintf(&stream, "%x;ext=1\r\n%s\r\n", n, rest[:n])
+					rest = rest[n:]
+				}
+				stream.WriteString("0\r\nTrailer: x\r\n\r\n")
+			} else {
+				fmt.Fprintf(&stream, "content-length: %d\r\n\r\n%s", len(body), body)
+			}
+			if body != "" {
+				m.Body = []byte(body)
+			}
+			want = append(want, m)
+		}
+		got, err := parse(NewParser(response, RequestLimits), split(t, stream.String()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(want, got); d != "" {
+			t.Fatal(d)
+		}
+	})
+}
+
+func TestRefused(t *testing.T) {
+	for name, s := range map[string]string{
+		"two lengths":           "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nx",
+		"length and chunked":    "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"chunked and length":    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n0\r\n\r\n",
+		"length list":           "POST / HTTP/1.1\r\nContent-Length: 1, 1\r\n\r\nx",
+		"signed length":         "POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\nx",
+		"negative length":       "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\nx",
+		"empty length":          "POST / HTTP/1.1\r\nContent-Length:\r\n\r\nx",
+		"other coding":          "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+		"folded header":         "POST / HTTP/1.1\r\nA: b\r\n c\r\n\r\n",
+		"blank before colon":    "POST / HTTP/1.1\r\nContent-Length : 1\r\n\r\nx",
+		"bare line feed":        "GET / HTTP/1.1\nHost: x\n\n",
+		"no path":               "GET  HTTP/1.1\r\n\r\n",
+		"absolute form":         "GET http://x/ HTTP/1.1\r\n\r\n",
+		"other version":         "GET / HTTP/2.0\r\n\r\n",
+		"chunk size with sign":  "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n+1\r\nx\r\n0\r\n\r\n",
+		"chunk longer than its": "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nxy\r\n0\r\n\r\n",
+		"body too large":        "POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n",
+		"endless line":          "GET /" + strings.Repeat("a", 10000),
+		"headers without end":   "GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", 100),
+	} {
+		if got, err := parse(NewParser(false, RequestLimits), []string{s}); err == nil || len(got) > 0 {
+			t.Errorf("%s: taken: %v %v", name, got, err)
+		}
+	}
+}
+
+// No input panics or makes the parser hold more than its limits.
+func FuzzParser(f *testing.F) {
+	f.Add([]byte("POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nx"), true)
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"), false)
+	f.Fuzz(func(t *testing.T, b []byte, response bool) {
+		lim := Limits{Line: 64, Headers: 4, Body: 100}
+		p := NewParser(response, lim)
+		for i := range b {
+			p.Feed(b[i : i+1])
+			m, err := p.Next()
+			if err != nil {
+				return
+			}
+			if m != nil && len(m.Body) > lim.Body {
+				t.Fatalf("body of %d bytes", len(m.Body))
+			}
+			if len(p.buf) > lim.Line+lim.Body+3 {
+				t.Fatalf("holds %d bytes", len(p.buf))
+			}
+		}
+	})
+}
+
+func TestResponseUntilClose(t *testing.T) {
+	p := NewParser(true, RequestLimits)
+	if got, err := parse(p, []string{"HTTP/1.0 200 OK\r\n\r\n", "ab"}); err != nil || len(got) > 0 {
+		t.Fatal(got, err)
+	}
+	if m := p.End(); m == nil || string(m.Body) != "ab" || !m.Close {
+		t.Fatalf("%+v", m)
+	}
+}
--- /dev/null
+++ b/internal/job/job.go
@@ -0,0 +1,210 @@
+// Package job holds the records of a job and what may happen to them. A job
+// that lives has one main record and a record for each chunk of its tasks that
+// was ever touched; a job that is over has one short past record.
+package job
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"violetturn/internal/api"
+)
+
+// Main is a living job's main record.
+type Main struct {
+	Run    api.Run `json:"r"`
+	Part   string  `json:"p"`            // the part whose owner places it
+	AtMS   int64   `json:"at"`           // time of day of its acceptance
+	Chunk  int     `json:"k"`            // tasks in a chunk
+	Gone   bool    `json:"w,omitempty"`  // withdrawn, some tasks may still be on machines
+	Fin    []int   `json:"f,omitempty"`  // chunks that are done, as ranges [from, to, from, to, ...)
+	Zone   string  `json:"z,omitempty"`  // the zone of a job whose tasks go together, once chosen
+	StopMS int64   `json:"wt,omitempty"` // time of day of the withdrawal
+}
+
+// Past is what stays of a job that is over.
+type Past struct {
+	Phase string `json:"phase"`
+	Done  int    `json:"done"`
+}
+
+// Place is where an unfinished task was put.
+type Place struct {
+	Try  uint64 `json:"t"`
+	Host string `json:"m"`
+	Stop bool   `json:"s,omitempty"` // it is to leave the machine
+	AtS  int64  `json:"a,omitempty"` // when it was put there, seconds after the job's acceptance
+}
+
+// Chunk is the record of a run of tasks of one job.
+type Chunk struct {
+	Tries  uint64         `json:"c,omitempty"` // the last attempt number given out in this chunk
+	Errors int            `json:"e,omitempty"` // failures in a row
+	Bits   string         `json:"d,omitempty"` // done tasks, a bit each, base64
+	Places map[int]*Place `json:"p,omitempty"` // unfinished tasks that are on a machine, or may be
+}
+
+// ChunkSize is the number of tasks in a chunk, such that its record fits a
+// value of the state service even with every task placed.
+func ChunkSize(valueKB float64) int {
+	const entry = 80 // bytes of one place at most, host names of 20 bytes included
+	return min(max(int(valueKB*1024)/entry/2*2, 2), 512)
+}
+
+// Chunks is the number of chunks of the job.
+func (m *Main) Chunks() int { return (m.Run.Pieces + m.Chunk - 1) / m.Chunk }
+
+// ChunkLen is the number of tasks in chunk n.
+func (m *Main) ChunkLen(n int) int { return min(m.Chunk, m.Run.Pieces-n*m.Chunk) }
+
+// Finished tells whether chunk n is done.
+func (m *Main) Finished(n int) bool {
+	for i := 0; i+1 < len(m.Fin); i += 2 {
+		if n >= m.Fin[i] && n < m.Fin[i+1] {
+			return true
+		}
+	}
+	return false
+}
+
+// Finish marks chunk n as done.
+func (m *Main) Finish(n int) {
+	if m.Finished(n) {
+		return
+	}
+	var all []int
+	for i := range m.Chunks() {
+		if i != n && !m.Finished(i) {
+			continue
+		}
+		if k := len(all); k > 0 && all[k-1] == i {
+			all[k-1] = i + 1
+		} else {
+			all = append(all, i, i+1)
+		}
+	}
+	m.Fin = all
+}
+
+// Complete tells whether every chunk is done.
+func (m *Main) Complete() bool {
+	return len(m.Fin) == 2 && m.Fin[0] == 0 && m.Fin[1] == m.Chunks()
+}
+
+// FinishedTasks counts the tasks of finished chunks.
+func (m *Main) FinishedTasks() int {
+	n := 0
+	for i := 0; i+1 < len(m.Fin); i += 2 {
+		n += min(m.Fin[i+1]*m.Chunk, m.Run.Pieces) - m.Fin[i]*m.Chunk
+	}
+	return n
+}
+
+// Copy copies the record so that it can be changed.
+func (m *Main) Copy() *Main {
+	c := *m
+	c.Fin = slices.Clone(m.Fin)
+	return &c
+}
+
+// Copy copies the record so that it can be changed; a nil chunk is one never touched.
+func (c *Chunk) Copy() *Chunk {
+	if c == nil {
+		return &Chunk{Places: map[int]*Place{}}
+	}
+	d := *c
+	d.Places = make(map[int]*Place, len(c.Places))
+	for i, p := range c.Places {
+		q := *p
+		d.Places[i] = &q
+	}
+	return &d
+}
+
+func (c *Chunk) bits() []byte {
+	b, _ := base64.RawStdEncoding.DecodeString(c.Bits) // checked when the record was read
+	return b
+}
+
+// Done tells whether task i (within the chunk) is done.
+func (c *Chunk) Done(i int) bool {
+	if c == nil {
+		return false
+	}
+	b := c.bits()
+	return i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0
+}
+
+// DoneCount counts the done tasks.
+func (c *Chunk) DoneCount() int {
+	if c == nil {
+		return 0
+	}
+	n := 0
+	for _, x := range c.bits() {
+		for ; x != 0; x &= x - 1 {
+			n++
+		}
+	}
+	return n
+}
+
+// Put places task i on a machine and gives the new attempt's number. Numbers
+// only rise, so that no attempt of a task is ever confused with another.
+func (c *Chunk) Put(i int, host string, atS int64) uint64 {
+	c.Tries++
+	c.Places[i] = &Place{Try: c.Tries, Host: host, AtS: atS}
+	return c.Tries
+}
+
+// End takes attempt try of task i off its machine. It tells whether that was
+// the task's present attempt; if not, nothing changes.
+func (c *Chunk) End(i int, try uint64, done, failed bool) bool {
+	p := c.Places[i]
+	if p == nil || p.Try != try {
+		return false
+	}
+	delete(c.Places, i)
+	switch {
+	case done:
+		b := c.bits()
+		for len(b) <= i/8 {
+			b = append(b, 0)
+		}
+		b[i/8] |= 1 << (i % 8)
+		c.Bits = base64.RawStdEncoding.EncodeToString(b)
+		c.Errors = 0
+	case failed:
+		c.Errors++
+	}
+	return true
+}
+
+// ParseMain reads a main record.
+func ParseMain(raw []byte) (*Main, error) {
+	var m Main
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return nil, err
+	}
+	if m.Chunk < 1 || m.Run.Pieces < 1 {
+		return nil, fmt.Errorf("job record of %q: no tasks", m.Run.UID)
+	}
+	return &m, nil
+}
+
+// ParseChunk reads a chunk's record.
+func ParseChunk(raw []byte) (*Chunk, error) {
+	var c Chunk
+	if err := json.Unmarshal(raw, &c); err != nil {
+		return nil, err
+	}
+	if _, err := base64.RawStdEncoding.DecodeString(c.Bits); err != nil {
+		return nil, err
+	}
+	if c.Places == nil {
+		c.Places = map[int]*Place{}
+	}
+	return &c, nil
+}
--- /dev/null
+++ b/internal/sched/place.go
@@ -0,0 +1,169 @@
+// Package sched makes the pure decisions: which machine a task goes to, whose
+// room is taken back, what is rented. It does no I/O; clocks and random numbers
+// come from outside.
+package sched
+
+import (
+	"math/rand/v2"
+	"slices"
+)
+
+// Room is an amount of a machine.
+type Room struct{ CPUs, GPUs, MemGB float64 }
+
+const eps = 1e-6 // amounts are decimal fractions, sums of them are not exact
+
+// Fits tells whether n fits into r.
+func (r Room) Fits(n Room) bool {
+	return n.CPUs <= r.CPUs+eps && n.GPUs <= r.GPUs+eps && n.MemGB <= r.MemGB+eps
+}
+
+// Sub takes n from r.
+func (r Room) Sub(n Room) Room { return Room{r.CPUs - n.CPUs, r.GPUs - n.GPUs, r.MemGB - n.MemGB} }
+
+// Add adds n to r.
+func (r Room) Add(n Room) Room { return Room{r.CPUs + n.CPUs, r.GPUs + n.GPUs, r.MemGB + n.MemGB} }
+
+// Times multiplies r.
+func (r Room) Times(k float64) Room { return Room{r.CPUs * k, r.GPUs * k, r.MemGB * k} }
+
+// Near tells whether two amounts are the same but for rounding.
+func (r Room) Near(o Room) bool { return r.Fits(o) && o.Fits(r) }
+
+// Host is a machine as a decision sees it.
+type Host struct {
+	Name, Part, Build, Site string
+	Loaners                 bool
+	Cap, Free               Room
+	Warm                    map[string]bool // images that it surely has
+}
+
+// Ask is what one task of a job asks of a machine.
+type Ask struct {
+	Need    Room
+	Builds  []string // nil: any
+	Site    string   // "": any
+	Loaners bool     // spot machines will do
+	Bundle  string
+	ZoneOK  func(site string) bool // what the job's other tasks leave; nil: any
+}
+
+// Allows tells whether the machine is one the task may run on, room aside.
+func (a *Ask) Allows(build, site string, loaners bool) bool {
+	return (a.Builds == nil || slices.Contains(a.Builds, build)) && (a.Site == "" || a.Site == site) &&
+		(a.Loaners || !loaners) && (a.ZoneOK == nil || a.ZoneOK(site))
+}
+
+// left measures how empty a machine would be after taking the task: the larger
+// of the shares of its processors and its accelerators that stay free.
+func left(h *Host, n Room) float64 {
+	f := h.Free.Sub(n)
+	share := 0.0
+	if h.Cap.CPUs > 0 {
+		share = f.CPUs / h.Cap.CPUs
+	}
+	if h.Cap.GPUs > 0 {
+		share = max(share, f.GPUs/h.Cap.GPUs)
+	}
+	return share
+}
+
+// FullestFit gives the fitting machine that is left fullest; among equals one
+// that has the image, then one that only this task may use (ordinary machines
+// are kept for those that need them).
+func FullestFit(hosts []*Host, a *Ask) *Host {
+	var best *Host
+	var bestLeft float64
+	better := func(h *Host, l float64) bool {
+		switch {
+		case best == nil || l < bestLeft-eps:
+			return true
+		case l > bestLeft+eps:
+			return false
+		case h.Warm[a.Bundle] != best.Warm[a.Bundle]:
+			return h.Warm[a.Bundle]
+		case h.Loaners != best.Loaners:
+			return h.Loaners
+		}
+		return h.Name < best.Name
+	}
+	for _, h := range hosts {
+		if !h.Free.Fits(a.Need) || !a.Allows(h.Build, h.Site, h.Loaners) {
+			continue
+		}
+		if l := left(h, a.Need); better(h, l) {
+			best, bestLeft = h, l
+		}
+	}
+	return best
+}
+
+// Choose looks at the own part first and then at the peers' parts in random
+// order, as the design has it, and gives the fullest fit of the first part
+// that has room.
+func Choose(parts map[string][]*Host, own string, a *Ask, rnd *rand.Rand) *Host {
+	if h := FullestFit(parts[own], a); h != nil {
+		return h
+	}
+	peers := make([]string, 0, len(parts))
+	for p := range parts {
+		if p != own {
+			peers = append(peers, p)
+		}
+	}
+	slices.Sort(peers)
+	rnd.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, p := range peers {
+		if h := FullestFit(parts[p], a); h != nil {
+			return h
+		}
+	}
+	return nil
+}
+
+// Victim is a task that could be stopped for another.
+type Victim struct {
+	Piece string
+	Room  Room
+	Cost  float64 // work that stopping it loses
+}
+
+// Preempt picks tasks on one machine whose end makes room for the task, losing
+// least, and tells what is lost. It gives none when even all of them would not
+// be enough: room that does not help is not taken from anybody.
+func Preempt(free Room, need Room, victims []Victim) ([]Victim, float64) {
+	slices.SortFunc(victims, func(a, b Victim) int {
+		switch {
+		case a.Cost < b.Cost:
+			return -1
+		case a.Cost > b.Cost:
+			return 1
+		case a.Piece < b.Piece:
+			return -1
+		}
+		return 1
+	})
+	var take []Victim
+	for _, v := range victims {
+		if free.Fits(need) {
+			break
+		}
+		free = free.Add(v.Room)
+		take = append(take, v)
+	}
+	if !free.Fits(need) {
+		return nil, 0
+	}
+	// A later, larger victim may have made an earlier one needless.
+	cost := 0.0
+	for i := 0; i < len(take); {
+		if less := free.Sub(take[i].Room); less.Fits(need) {
+			free = less
+			take = slices.Delete(take, i, i+1)
+			continue
+		}
+		cost += take[i].Cost
+		i++
+	}
+	return take, cost
+}
--- /dev/null
+++ b/internal/sched/rent.go
@@ -0,0 +1,89 @@
+package sched
+
+import "slices"
+
+// Offer is a machine type in one zone, ordinary or spot, that can be rented.
+type Offer struct {
+	Build, Site string
+	Loaners     bool
+	Cap         Room
+	Price       float64
+}
+
+// Unmet is a job's tasks that found no room.
+type Unmet struct {
+	Ask    Ask
+	Count  int
+	Placed func(site string) // hears of each task's zone, for ZoneOK; may be nil
+}
+
+// Order is a number of machines to rent.
+type Order struct {
+	Offer Offer
+	Count int
+}
+
+// Plan tells what to rent for the unmet tasks, after filling the machines that
+// are coming already. Of the offers that fit, the one that is cheapest for the
+// task is taken; home breaks a tie between zones. room limits the number of
+// machines in all.
+func Plan(unmet []Unmet, coming []*Host, offers []Offer, home string, room int) []Order {
+	var orders []Order
+	hosts := slices.Clone(coming)
+	for i := range unmet {
+		u := &unmet[i]
+		for range u.Count {
+			h := FullestFit(hosts, &u.Ask)
+			if h == nil {
+				if room <= 0 {
+					break
+				}
+				o := cheapest(offers, &u.Ask, home)
+				if o == nil {
+					break
+				}
+				room--
+				h = &Host{Name: "new", Build: o.Build, Site: o.Site, Loaners: o.Loaners, Cap: o.Cap, Free: o.Cap}
+				hosts = append(hosts, h)
+				k := slices.IndexFunc(orders, func(x Order) bool { return x.Offer == *o })
+				if k < 0 {
+					orders = append(orders, Order{Offer: *o})
+					k = len(orders) - 1
+				}
+				orders[k].Count++
+			}
+			h.Free = h.Free.Sub(u.Ask.Need)
+			if u.Placed != nil {
+				u.Placed(h.Site)
+			}
+		}
+	}
+	return orders
+}
+
+// fitCount tells how many such tasks fit into an empty machine.
+func fitCount(c, n Room) float64 {
+	k := 1000.0
+	for _, x := range [][2]float64{{c.CPUs, n.CPUs}, {c.GPUs, n.GPUs}, {c.MemGB, n.MemGB}} {
+		if x[1] > 0 {
+			k = min(k, float64(int(x[0]/x[1]+eps)))
+		}
+	}
+	return k
+}
+
+func cheapest(offers []Offer, a *Ask, home string) *Offer {
+	var best *Offer
+	var bestCost float64
+	for i := range offers {
+		o := &offers[i]
+		if !o.Cap.Fits(a.Need) || !a.Allows(o.Build, o.Site, o.Loaners) {
+			continue
+		}
+		cost := o.Price / fitCount(o.Cap, a.Need)
+		if best == nil || cost < bestCost-eps || cost < bestCost+eps && o.Site == home && best.Site != home {
+			best, bestCost = o, cost
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,276 @@
+// Package store is the client of the state service.
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+
+	"violetturn/internal/httpwire"
+	"violetturn/internal/transport"
+)
+
+// Errors of the state service.
+var (
+	// ErrRefused: the request was surely not executed (503, 429, never sent).
+	ErrRefused = errors.New("state service refused")
+	// ErrUnknown: the request may have been executed, or may still be later.
+	ErrUnknown = errors.New("state service did not answer")
+	// ErrNoPermit: the hold has ended.
+	ErrNoPermit = errors.New("no such hold")
+	// ErrTooOld: changes since that revision are no longer kept.
+	ErrTooOld = errors.New("changes no longer kept")
+)
+
+// Item is a key with its value and version. In a change without a value the
+// key was dropped.
+type Item struct {
+	Key   string          `json:"k"`
+	Value json.RawMessage `json:"v"`
+	Stamp uint64          `json:"stamp"`
+}
+
+// Change is one entry of the log of changes.
+type Change struct {
+	Write string          `json:"write"`
+	Drop  string          `json:"drop"`
+	Value json.RawMessage `json:"v"`
+	Stamp uint64          `json:"stamp"`
+}
+
+// Guard is a condition of a transaction.
+type Guard struct {
+	Key   string `json:"k"`
+	Stamp uint64 `json:"stamp"`
+}
+
+// Op is a change of a transaction.
+type Op struct {
+	Write  string          `json:"write,omitempty"`
+	Value  json.RawMessage `json:"v,omitempty"`
+	Permit *uint64         `json:"permit,omitempty"`
+	Drop   string          `json:"drop,omitempty"`
+}
+
+// Txn is a transaction.
+type Txn struct {
+	Guards []Guard `json:"guards"`
+	Then   []Op    `json:"then"`
+}
+
+// Rank says how a request stands under load: the lower, the sooner.
+type Rank int
+
+// Ranks of requests: holds, then what reports and decisions need, then submissions.
+const (
+	Hold Rank = iota
+	Decision
+	Submission
+)
+
+// reserve is the share of the budget that a rank leaves to those above it.
+var reserve = [...]float64{0, 0.1, 0.3}
+
+// Client talks to the state service within the controller's share of its rates.
+type Client struct {
+	http     *transport.Client
+	addr     string
+	deadline time.Duration
+	reqs     *transport.Budget
+	writes   *transport.Budget
+	onAnswer func(ok bool)
+}
+
+// New makes a client. deadline bounds an ordinary request; rps and writeRPS are
+// this controller's share; onAnswer hears of each request whether the service
+// served it.
+func New(h *transport.Client, addr string, deadline time.Duration, rps, writeRPS float64, onAnswer func(ok bool)) *Client {
+	return &Client{http: h, addr: addr, deadline: deadline, reqs: transport.NewBudget(rps, rps), writes: transport.NewBudget(writeRPS, writeRPS), onAnswer: onAnswer}
+}
+
+// Used tells how many requests and writes were sent in all.
+func (c *Client) Used() (reqs, writes float64) { return c.reqs.Used(), c.writes.Used() }
+
+func wait(ctx context.Context, b *transport.Budget, n float64, r Rank, until time.Time) error {
+	for {
+		d, ok := b.Take(time.Now(), n, reserve[r])
+		if ok {
+			return nil
+		}
+		if time.Now().Add(d).After(until) {
+			return ErrRefused
+		}
+		select {
+		case <-time.After(d):
+		case <-ctx.Done():
+			return ErrRefused
+		}
+	}
+}
+
+func (c *Client) do(ctx context.Context, method, target string, body any, writes int, r Rank, extra time.Duration) (*httpwire.Message, error) {
+	until := time.Now().Add(c.deadline)
+	if writes > 0 {
+		if err := wait(ctx, c.writes, float64(writes), r, until); err != nil {
+			return nil, err
+		}
+	}
+	if err := wait(ctx, c.reqs, 1, r, until); err != nil {
+		return nil, err
+	}
+	var b []byte
+	if body != nil {
+		var err error
+		if b, err = json.Marshal(body); err != nil {
+			return nil, fmt.Errorf("state service request: %w", err)
+		}
+	}
+	m, err := c.http.Do(ctx, c.addr, method, target, b, c.deadline+extra)
+	if err != nil {
+		c.onAnswer(false)
+		if errors.Is(err, transport.ErrNoResponse) {
+			return nil, ErrUnknown
+		}
+		return nil, ErrRefused
+	}
+	if m.Status == 503 || m.Status == 429 {
+		c.onAnswer(m.Status == 429)
+		return nil, ErrRefused
+	}
+	c.onAnswer(true)
+	return m, nil
+}
+
+func decode(m *httpwire.Message, v any) error {
+	if m.Status != 200 {
+		return fmt.Errorf("state service: status %d: %.100s", m.Status, m.Body)
+	}
+	if err := json.Unmarshal(m.Body, v); err != nil {
+		return fmt.Errorf("state service: %w", err)
+	}
+	return nil
+}
+
+// Get reads one key; found is false when it does not exist.
+func (c *Client) Get(ctx context.Context, key string, r Rank) (it Item, found bool, err error) {
+	m, err := c.do(ctx, "GET", "/keys/"+key, nil, 0, r, 0)
+	if err != nil {
+		return it, false, err
+	}
+	if m.Status == 404 {
+		return it, false, nil
+	}
+	return it, true, decode(m, &it)
+}
+
+// List reads all keys with a prefix. The pages are of different revisions;
+// epoch is that of the first, from which a watch misses nothing.
+func (c *Client) List(ctx context.Context, prefix string) (items []Item, epoch uint64, err error) {
+	since := ""
+	for first := true; ; first = false {
+		q := "/keys?prefix=" + url.QueryEscape(prefix) + "&limit=1000"
+		if since != "" {
+			q += "&since=" + url.QueryEscape(since)
+		}
+		m, err := c.do(ctx, "GET", q, nil, 0, Decision, 0)
+		if err != nil {
+			return nil, 0, err
+		}
+		var page struct {
+			Rows      []Item `json:"rows"`
+			Truncated bool   `json:"truncated"`
+			Epoch     uint64 `json:"epoch"`
+		}
+		if err := decode(m, &page); err != nil {
+			return nil, 0, err
+		}
+		if first {
+			epoch = page.Epoch
+		}
+		items = append(items, page.Rows...)
+		if !page.Truncated || len(page.Rows) == 0 {
+			return items, epoch, nil
+		}
+		since = page.Rows[len(page.Rows)-1].Key
+	}
+}
+
+// Changes waits up to block for changes after a revision.
+func (c *Client) Changes(ctx context.Context, prefix string, since uint64, block time.Duration) ([]Change, uint64, error) {
+	q := "/changes?prefix=" + url.QueryEscape(prefix) + "&since=" + strconv.FormatUint(since, 10) + "&blockMs=" + strconv.FormatInt(block.Milliseconds(), 10)
+	m, err := c.do(ctx, "GET", q, nil, 0, Decision, block)
+	if err != nil {
+		return nil, 0, err
+	}
+	if m.Status == 410 {
+		return nil, 0, ErrTooOld
+	}
+	var page struct {
+		Epoch uint64   `json:"epoch"`
+		Log   []Change `json:"log"`
+	}
+	return page.Log, page.Epoch, decode(m, &page)
+}
+
+// Multi commits a transaction. ok is false, with the keys that differed, when
+// its guards did not hold.
+func (c *Client) Multi(ctx context.Context, t *Txn, r Rank) (epoch uint64, ok bool, failed []string, err error) {
+	m, err := c.do(ctx, "POST", "/multi", t, len(t.Then), r, 0)
+	if err != nil {
+		return 0, false, nil, err
+	}
+	var a struct {
+		Epoch  uint64   `json:"epoch"`
+		Failed []string `json:"failed"`
+		Error  string   `json:"error"`
+	}
+	if err := json.Unmarshal(m.Body, &a); err != nil {
+		return 0, false, nil, fmt.Errorf("state service: %w", err)
+	}
+	switch {
+	case m.Status == 200:
+		return a.Epoch, true, nil, nil
+	case m.Status == 409:
+		return a.Epoch, false, a.Failed, nil
+	case m.Status == 400 && a.Error == "no such lease":
+		return 0, false, nil, ErrNoPermit
+	}
+	return 0, false, nil, fmt.Errorf("state service: status %d: %.100s", m.Status, m.Body)
+}
+
+// Hold makes a hold.
+func (c *Client) Hold(ctx context.Context, ttl time.Duration) (uint64, error) {
+	m, err := c.do(ctx, "POST", "/holds", map[string]int64{"ttlMs": ttl.Milliseconds()}, 0, Hold, 0)
+	if err != nil {
+		return 0, err
+	}
+	var a struct {
+		Permit uint64 `json:"permit"`
+	}
+	return a.Permit, decode(m, &a)
+}
+
+// Touch renews a hold.
+func (c *Client) Touch(ctx context.Context, permit uint64) error {
+	m, err := c.do(ctx, "POST", "/holds/"+strconv.FormatUint(permit, 10)+"/touch", struct{}{}, 0, Hold, 0)
+	if err != nil {
+		return err
+	}
+	if m.Status == 404 {
+		return ErrNoPermit
+	}
+	if m.Status != 200 {
+		return fmt.Errorf("state service: status %d", m.Status)
+	}
+	return nil
+}
+
+// Release ends a hold at once.
+func (c *Client) Release(ctx context.Context, permit uint64) error {
+	_, err := c.do(ctx, "DELETE", "/holds/"+strconv.FormatUint(permit, 10), nil, 0, Hold, 0)
+	return err
+}
--- /dev/null
+++ b/internal/transport/budget.go
@@ -0,0 +1,48 @@
+package transport
+
+import (
+	"sync"
+	"time"
+)
+
+// Budget is a token bucket that holds a client within its share of an outside
+// system's rate. Work of a lower rank leaves a reserve untouched, so that work
+// of a higher rank always finds room.
+type Budget struct {
+	mu    sync.Mutex
+	rate  float64
+	burst float64
+	have  float64
+	last  time.Time
+	used  float64
+}
+
+// NewBudget makes a bucket of rate tokens a second that holds burst of them.
+func NewBudget(rate, burst float64) *Budget {
+	return &Budget{rate: rate, burst: burst, have: burst}
+}
+
+// Take takes n tokens if that leaves at least the share reserve (0 to 1) of
+// the burst; else it tells how long to wait before asking again.
+func (b *Budget) Take(now time.Time, n, reserve float64) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.last.IsZero() {
+		b.have = min(b.burst, b.have+now.Sub(b.last).Seconds()*b.rate)
+	}
+	b.last = now
+	need := min(n+reserve*b.burst, b.burst)
+	if b.have >= need {
+		b.have -= n
+		b.used += n
+		return 0, true
+	}
+	return time.Duration((need - b.have) / b.rate * float64(time.Second)), false
+}
+
+// Used tells how many tokens were taken in all.
+func (b *Budget) Used() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
--- /dev/null
+++ b/internal/worker/worker.go
@@ -0,0 +1,48 @@
+// Package worker is the client for direct commands to workers. Only commands
+// that may be carried out at any later time are sent this way: fences and
+// stops, never starts, since a cut may hold a command back for minutes.
+package worker
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"violetturn/internal/api"
+	"violetturn/internal/transport"
+)
+
+// Client sends commands to workers.
+type Client struct {
+	http     *transport.Client
+	deadline time.Duration
+}
+
+// New makes a client.
+func New(h *transport.Client, deadline time.Duration) *Client {
+	return &Client{http: h, deadline: deadline}
+}
+
+// Command sends orders under a baton and session. It gives the worker's report
+// and whether the orders were executed.
+func (c *Client) Command(ctx context.Context, addr string, o api.Orders) (*api.Checkin, bool, error) {
+	for _, x := range o.Orders {
+		if x.Verb == api.Launch {
+			return nil, false, fmt.Errorf("launch %s: never sent directly", x.Piece)
+		}
+	}
+	b, err := json.Marshal(o)
+	if err != nil {
+		return nil, false, fmt.Errorf("worker command: %w", err)
+	}
+	m, err := c.http.Do(ctx, addr, "POST", "/commands", b, c.deadline)
+	if err != nil {
+		return nil, false, err
+	}
+	if m.Status != 200 && m.Status != 409 {
+		return nil, false, fmt.Errorf("worker: status %d", m.Status)
+	}
+	r, err := api.ParseCheckin(m.Body)
+	return r, m.Status == 200, err
+}
