Keep room for peers' jobs within a guarantee; try the next offer at once

Cause: nodes took the room of peers' guaranteed jobs and were then stopped for them, and a refused rental waited a round before the next kind was tried.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -59,9 +59,6 @@
 	adopt    map[string]part.Machine // strangers to be recorded
 	retryAt  map[string]time.Time    // jobs that failed, when they are tried again
 	errSeen  map[string]int
-	preempts int
-	starts   int
-	ends     int
 }
 
 // ownPart is a part that this node owns.
--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -331,6 +331,7 @@
 	chunks := map[string]*job.Chunk{}
 	uids := map[string]bool{}
 	used := map[string]sched.Room{}
+	var said [][]any
 	cost := 1
 	for _, x := range pl.places {
 		if x.host.Part != target {
@@ -376,8 +377,7 @@
 		free[x.host.Name] = f.Sub(n)
 		used[r.Owner] = used[r.Owner].Add(n)
 		try := ch.Put(x.index, x.host.Name, max(0, (now.UnixMilli()-x.j.main.AtMS)/1000))
-		c.starts++
-		c.log.Info("task placed", "task", api.PieceName(r.UID, x.chunk*x.j.main.Chunk+x.index), "try", try, "host", x.host.Name, "part", target, "own", target == x.j.main.Part)
+		said = append(said, []any{"task", api.PieceName(r.UID, x.chunk*x.j.main.Chunk+x.index), "try", try, "host", x.host.Name, "part", target, "own", target == x.j.main.Part})
 	}
 	for key, ch := range chunks {
 		t.write(key, ch)
@@ -390,6 +390,11 @@
 	c.writeTeams(t, target, used)
 	c.mu.Unlock()
 	done, _, err := c.commit(ctx, t, store.Decision)
+	if done {
+		for _, l := range said {
+			c.log.Info("task placed", l...)
+		}
+	}
 	return done || err == nil
 }
 
@@ -408,6 +413,7 @@
 		c.guardOwn(t, p)
 	}
 	chunks := map[string]*job.Chunk{}
+	var said [][]any
 	for _, x := range pl.stops {
 		key := chunkKey(x.uid, x.chunk)
 		if chunks[key] == nil {
@@ -419,14 +425,18 @@
 			chunks[key] = old.v.Copy()
 		}
 		chunks[key].Places[x.index].Stop = true
-		c.preempts++
-		c.log.Info("task is to leave", "job", x.uid, "task", x.index, "host", x.p.Host, "why", "preempted")
+		said = append(said, []any{"job", x.uid, "task", x.index, "host", x.p.Host, "why", "preempted"})
 	}
 	for key, ch := range chunks {
 		t.write(key, ch)
 	}
 	c.mu.Unlock()
 	done, _, _ := c.commit(ctx, t, store.Decision)
+	if done {
+		for _, l := range said {
+			c.log.Info("task is to leave", l...)
+		}
+	}
 	return done
 }
 
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -248,10 +248,12 @@
 			use[t.Name] = c.teamUse(t.Name)
 		}
 	}
-	// Within a rank own jobs come first: those of peers are placed by them, and
-	// what they will take is only kept from jobs of a lower rank here.
+	// Among jobs of one rank, within their guarantees or not, own ones come
+	// first: those of peers are placed by them, and what they will take is only
+	// kept from what comes after them. Without that a peer's job would first see
+	// its room taken and then stop the taker to get it back.
 	slices.SortStableFunc(queue, func(a, b queued) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), -compareBool(a.mine, b.mine))
+		return cmp.Or(cmp.Compare(a.rank, b.rank), -compareBool(a.guarantee, b.guarantee), -compareBool(a.mine, b.mine))
 	})
 	type lacking struct {
 		q     queued
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -31,7 +31,11 @@
 				c.log.Debug("machine types not read", "err", err)
 			}
 		}
-		c.rentRound(ctx, inDoubt)
+		for range 6 { // a refusal is followed at once by the next best offer
+			if !c.rentRound(ctx, inDoubt) {
+				break
+			}
+		}
 		if now.Sub(listAt) > max(lag, c.cfg.Report()) {
 			if l, err := c.cloud.List(ctx); err == nil {
 				listAt = now
@@ -86,8 +90,9 @@
 	return out
 }
 
-// rentRound rents for what lacks room after the machines that are coming.
-func (c *Controller) rentRound(ctx context.Context, inDoubt map[sched.Offer]cloud.Rental) {
+// rentRound rents for what lacks room after the machines that are coming. It
+// tells whether an offer was refused, so that another may do.
+func (c *Controller) rentRound(ctx context.Context, inDoubt map[sched.Offer]cloud.Rental) (again bool) {
 	now := time.Now()
 	c.mu.Lock()
 	p := c.plan(now)
@@ -104,7 +109,7 @@
 	}
 	c.mu.Unlock()
 	if mine == "" {
-		return
+		return false
 	}
 	for _, o := range orders {
 		r, doubt := inDoubt[o.Offer]
@@ -125,31 +130,40 @@
 				c.adopt[h] = part.Machine{Build: r.Build, Site: r.Site, Loaners: r.Loaners, For: mine}
 			}
 			if len(hosts) < r.HowMany {
-				c.refuse(key, now)
+				again = true
+				c.refuse(key, r.Build, now)
 			}
 		case errors.Is(err, cloud.ErrNoCapacity):
 			delete(inDoubt, o.Offer)
 			c.log.Info("rental refused", "hire", r.Hire, "build", r.Build, "site", r.Site, "loaners", r.Loaners)
-			c.refuse(key, now)
+			again = true
+			c.refuse(key, r.Build, now)
 		default:
 			inDoubt[o.Offer] = r // repeated under its name
 			c.log.Info("rental in doubt", "hire", r.Hire, "err", err)
 		}
 		c.mu.Unlock()
 		if err != nil && !errors.Is(err, cloud.ErrNoCapacity) {
-			return
+			return false
 		}
 	}
 	if len(orders) > 0 {
 		c.recordStrangers(ctx)
 	}
+	return again
 }
 
-// refuse keeps an offer from being asked for again at once, ever longer. Call
-// with the lock held.
-func (c *Controller) refuse(key string, now time.Time) {
+// refuse keeps an offer from being asked for again at once, ever longer: what
+// was refused seldom comes back sooner than a machine would boot. Call with the
+// lock held.
+func (c *Controller) refuse(key, build string, now time.Time) {
+	_, f := c.capOf(build)
+	startup := c.cfg.Lease()
+	if f != nil {
+		startup = time.Duration(f.startupS * float64(time.Second))
+	}
 	r := c.refused[key]
-	r.wait = min(max(2*r.wait, c.cfg.Report()), 4*c.cfg.Lease())
+	r.wait = min(max(2*r.wait, startup/4), 2*startup)
 	r.until = now.Add(r.wait)
 	c.refused[key] = r
 }
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -152,7 +152,6 @@
 // the lock held.
 func (c *Controller) ended(host string, s *part.Session, j *liveJob, pl *placed, l *api.PieceState) {
 	uid := j.main.Run.UID
-	c.ends++
 	c.log.Info("task ended", "task", l.Piece, "try", l.Try, "host", host, "cause", l.Cause, "saved", l.Saved)
 	switch l.Cause {
 	case api.CauseDone:
