Break ties of the fullest fit by like neighbours, warm images, spot

Cause: a service and an array on one machine keep it from emptying; warmth was known only to the part's owner.

--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -93,9 +93,13 @@
 				continue
 			}
 			cp, _ := c.capOf(m.v.Build)
-			x := &sched.Host{Name: h, Part: p, Build: m.v.Build, Site: m.v.Site, Loaners: m.v.Loaners, Cap: cp, Free: r}
-			if s := c.sessions[h]; s != nil {
-				x.Warm = s.Warm
+			x := &sched.Host{Name: h, Part: p, Build: m.v.Build, Site: m.v.Site, Loaners: m.v.Loaners, Cap: cp, Free: r, Warm: c.m.images[h]}
+			for _, pl := range c.m.onHost[h] {
+				if j := c.m.jobs[pl.uid]; j != nil && j.main.Run.Shape == api.Daemon {
+					x.Daemons++
+				} else {
+					x.Sweeps++
+				}
 			}
 			out[p] = append(out[p], x)
 		}
@@ -296,6 +300,11 @@
 			if q.mine {
 				out.places = append(out.places, placement{q.j, t.chunk, t.index, h})
 			}
+			if a.Daemon {
+				h.Daemons++
+			} else {
+				h.Sweeps++
+			}
 			return true
 		})
 		if q.mine && len(l.tasks) > 0 {
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -122,9 +122,6 @@
 		case l == nil && !released && !s.Dead(now, c.cfg.LeaseBound()):
 			out = append(out, api.Order{Verb: api.Launch, Piece: name, Try: pl.p.Try})
 		}
-		if l != nil && l.Phase == api.Running {
-			s.Warm[j.main.Run.Bundle] = true
-		}
 	}
 	for a, l := range listed {
 		switch {
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -59,6 +59,7 @@
 	teams  map[string]value[part.Usage]
 	term   uint64
 	onHost map[string]map[string]*placed // host -> task -> place
+	images map[string]map[string]bool    // host -> images that tasks were put there with
 }
 
 // placed is one placement, found by its machine.
@@ -73,7 +74,7 @@
 	return &mirror{log: log, stamps: map[string]uint64{}, tombs: map[string]uint64{}, jobs: map[string]*liveJob{},
 		orphan: map[string]map[int]value[job.Chunk]{}, parts: map[string]value[part.Record]{}, owns: map[string]value[part.Own]{},
 		nodes: map[string]value[part.Own]{}, hosts: map[string]value[part.Machine]{}, teams: map[string]value[part.Usage]{},
-		onHost: map[string]map[string]*placed{}}
+		onHost: map[string]map[string]*placed{}, images: map[string]map[string]bool{}}
 }
 
 // apply takes in one change; raw is nil for a drop. Changes reach the mirror
@@ -115,6 +116,9 @@
 		err = set(m.nodes, id, raw, stamp)
 	case hostKey:
 		err = set(m.hosts, id, raw, stamp)
+		if raw == nil {
+			delete(m.images, id)
+		}
 	case teamKey:
 		err = set(m.teams, id, raw, stamp)
 	}
@@ -202,6 +206,12 @@
 			m.onHost[p.Host] = on
 		}
 		on[taskID(uid, n, i)] = &placed{uid, n, i, p}
+		if j := m.jobs[uid]; j != nil {
+			if m.images[p.Host] == nil {
+				m.images[p.Host] = map[string]bool{}
+			}
+			m.images[p.Host][j.main.Run.Bundle] = true
+		}
 	}
 	return nil
 }
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -214,7 +214,7 @@
 }
 
 func askOf(r *api.Run) sched.Ask {
-	return sched.Ask{Need: need(r), Builds: r.Builds, Site: r.Site, Loaners: r.Loaners, Bundle: r.Bundle}
+	return sched.Ask{Need: need(r), Builds: r.Builds, Site: r.Site, Loaners: r.Loaners, Bundle: r.Bundle, Daemon: r.Shape == api.Daemon}
 }
 
 // acceptLoop commits submissions, several in one transaction when they come
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -72,7 +72,6 @@
 	Gone     bool         // the cloud has confirmed its end
 	Dark     bool         // its lease is surely over
 	Releases map[string]Release
-	Warm     map[string]bool // images that a task has run with there
 	Errors   map[string]bool // jobs whose tasks failed there since one last succeeded
 	Idle     time.Time       // since when it has no task; zero: it has some
 	Drain    bool            // it takes no more tasks: it is to be returned
@@ -85,7 +84,7 @@
 // NewSession starts a worker's session under a term. answered is the latest
 // time at which an earlier owner can have answered it.
 func NewSession(term uint64, answered time.Time) *Session {
-	return &Session{Term: term, Answered: answered, Releases: map[string]Release{}, Warm: map[string]bool{}, Errors: map[string]bool{}}
+	return &Session{Term: term, Answered: answered, Releases: map[string]Release{}, Errors: map[string]bool{}}
 }
 
 // Accept takes a report if it can be believed: made after the worker saw this
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -35,7 +35,8 @@
 	Name, Part, Build, Site string
 	Loaners                 bool
 	Cap, Free               Room
-	Warm                    map[string]bool // images that it surely has
+	Warm                    map[string]bool // images that it likely has
+	Daemons, Sweeps         int             // tasks on it, by their jobs' shape
 }
 
 // Ask is what one task of a job asks of a machine.
@@ -45,6 +46,7 @@
 	Site    string   // "": any
 	Loaners bool     // spot machines will do
 	Bundle  string
+	Daemon  bool                   // a service's replica
 	ZoneOK  func(site string) bool // what the job's other tasks leave; nil: any
 }
 
@@ -68,9 +70,18 @@
 	return share
 }
 
+// strangers counts the tasks of the other shape on a machine. Replicas stay,
+// arrays' tasks end: kept apart, machines empty out and can be returned.
+func strangers(h *Host, a *Ask) int {
+	if a.Daemon {
+		return h.Sweeps
+	}
+	return h.Daemons
+}
+
 // FullestFit gives the fitting machine that is left fullest; among equals one
-// that has the image, then one that only this task may use (ordinary machines
-// are kept for those that need them).
+// without tasks of the other shape, then one that has the image, then a spot
+// one, so that ordinary machines stay for those that need them.
 func FullestFit(hosts []*Host, a *Ask) *Host {
 	var best *Host
 	var bestLeft float64
@@ -80,6 +91,8 @@
 			return true
 		case l > bestLeft+eps:
 			return false
+		case (strangers(h, a) > 0) != (strangers(best, a) > 0):
+			return strangers(h, a) == 0
 		case h.Warm[a.Bundle] != best.Warm[a.Bundle]:
 			return h.Warm[a.Bundle]
 		case h.Loaners != best.Loaners:
