Head-room for lanes whose jobs can't wait for a boot

Cause: work within a guarantee or with a tight deadline waited a boot (60 s) whenever room was short. Head-room is sized by how arrivals of such lanes fluctuate during a boot; one node rents it for all.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -59,6 +59,7 @@
 	adopt    map[string]part.Machine // strangers to be recorded
 	retryAt  map[string]time.Time    // jobs that failed, when they are tried again
 	errSeen  map[string]int
+	arrivals map[string][]arrival // by lane, the recent ones
 }
 
 // ownPart is a part that this node owns.
@@ -85,9 +86,10 @@
 	c := &Controller{cfg: cfg, log: log, http: h, inc: rand.Uint64() >> 12, rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		wake: make(chan struct{}, 1), accepts: make(chan *accept, 64), barriers: make(chan chan error, 256),
 		fencing: make(chan struct{}, 8), users: make(chan struct{}, 128),
-		m: newMirror(log), mine: map[string]*ownPart{}, sessions: map[string]*part.Session{}, absent: map[string]time.Time{}, homeUp: map[string]time.Time{},
+		mine: map[string]*ownPart{}, sessions: map[string]*part.Session{}, absent: map[string]time.Time{}, homeUp: map[string]time.Time{},
 		booting: map[string]time.Time{}, refused: map[string]refusal{}, past: map[string]job.Past{}, adopt: map[string]part.Machine{},
-		retryAt: map[string]time.Time{}, errSeen: map[string]int{}}
+		retryAt: map[string]time.Time{}, errSeen: map[string]int{}, arrivals: map[string][]arrival{}}
+	c.m = newMirror(log, c.arrived)
 	c.store = store.New(h, cfg.External.State, cfg.HoldTTL()/3, cfg.Facts.State.RPS/n, cfg.Facts.State.WriteRPS/n, func(bool) {})
 	c.cloud = cloud.New(h, cfg.External.Cloud, 3*time.Second, cfg.Facts.Cloud.RPS/n)
 	c.workers = worker.New(h, cfg.Report())
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -25,6 +25,8 @@
 	places []placement
 	stops  []*placed // tasks to stop for others
 	unmet  []sched.Unmet
+	all    []sched.Unmet // what found no room at once, peers' jobs included
+	left   []*sched.Host // the machines with the room that is left after all that
 }
 
 // capOf gives a machine type's size. Call with the lock held.
@@ -307,14 +309,15 @@
 			}
 			return true
 		})
+		if len(l.tasks) > 0 {
+			out.all = append(out.all, sched.Unmet{Ask: ask, Count: len(l.tasks)})
+		}
 		if q.mine && len(l.tasks) > 0 {
 			lack = append(lack, l)
 		}
 	}
-	if len(lack) == 0 {
-		return out
-	}
 	coming := c.vacating(hosts)
+	out.left = coming
 	over := c.beyondGuarantee(queue)
 	for _, l := range lack {
 		u := sched.Unmet{Ask: l.ask}
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -66,12 +66,12 @@
 
 func offerKey(o sched.Offer) string { return fmt.Sprintf("%s/%s/%t", o.Build, o.Site, o.Loaners) }
 
-// coming lists the machines rented for this node's parts that have not come up
-// yet. Call with the lock held.
-func (c *Controller) coming(now time.Time) []*sched.Host {
+// coming lists the machines that have not come up yet: those rented for this
+// node's parts, or all. Call with the lock held.
+func (c *Controller) coming(now time.Time, all bool) []*sched.Host {
 	var out []*sched.Host
 	for host, m := range c.m.hosts {
-		if c.owned(m.v.For) == nil || len(c.m.onHost[host]) > 0 {
+		if !all && c.owned(m.v.For) == nil || len(c.m.onHost[host]) > 0 {
 			continue
 		}
 		cp, f := c.capOf(m.v.Build)
@@ -99,8 +99,16 @@
 	var orders []sched.Order
 	mine := ""
 	var term uint64
-	if len(p.unmet) > 0 {
-		orders = sched.Plan(p.unmet, c.coming(now), c.offers(now), c.cfg.Site, c.partRoom()*len(c.parts)-len(c.m.hosts))
+	room := c.partRoom()*len(c.parts) - len(c.m.hosts)
+	orders = sched.Plan(p.unmet, c.coming(now, false), c.offers(now), c.cfg.Site, room)
+	if c.owned(c.parts[0]) != nil { // one node keeps the head-room for all
+		// What lacks room now, here and at the peers, has been rented for and
+		// takes its share of what is coming.
+		sim := append(c.coming(now, true), p.left...)
+		sched.Plan(p.all, sim, nil, "", 0)
+		orders = append(orders, sched.Plan(c.headroom(now), sim, c.offers(now), c.cfg.Site, room)...)
+	}
+	if len(orders) > 0 {
 		for _, x := range c.parts {
 			if o := c.owned(x); o != nil && (mine == "" || x == c.cfg.HostName) {
 				mine, term = x, o.term
@@ -302,7 +310,7 @@
 	if s.Idle.IsZero() {
 		s.Idle = now
 	}
-	if now.Sub(s.Idle) > startup {
+	if now.Sub(s.Idle) > startup && !c.spare(host, now) {
 		drain("idle")
 	}
 }
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -60,6 +60,7 @@
 	term   uint64
 	onHost map[string]map[string]*placed // host -> task -> place
 	images map[string]map[string]bool    // host -> images that tasks were put there with
+	onJob  func(*job.Main)               // hears of each job that appears
 }
 
 // placed is one placement, found by its machine.
@@ -70,8 +71,8 @@
 	p     *job.Place
 }
 
-func newMirror(log *slog.Logger) *mirror {
-	return &mirror{log: log, stamps: map[string]uint64{}, tombs: map[string]uint64{}, jobs: map[string]*liveJob{},
+func newMirror(log *slog.Logger, onJob func(*job.Main)) *mirror {
+	return &mirror{log: log, onJob: onJob, stamps: map[string]uint64{}, tombs: map[string]uint64{}, jobs: map[string]*liveJob{},
 		orphan: map[string]map[int]value[job.Chunk]{}, parts: map[string]value[part.Record]{}, owns: map[string]value[part.Own]{},
 		nodes: map[string]value[part.Own]{}, hosts: map[string]value[part.Machine]{}, teams: map[string]value[part.Usage]{},
 		onHost: map[string]map[string]*placed{}, images: map[string]map[string]bool{}}
@@ -162,6 +163,7 @@
 			delete(m.orphan, uid)
 		}
 		m.jobs[uid] = j
+		m.onJob(v)
 	}
 	j.main, j.stamp = v, stamp
 	return nil
