Head-room of 2.5 deviations, none for idle work

Cause: one deviation left work within guarantees waiting; the idle rank asks for no head-room at all (it waits politely).

--- a/internal/controller/headroom.go
+++ b/internal/controller/headroom.go
@@ -54,13 +54,13 @@
 				last = a.run
 			}
 		}
-		if last == nil || c.slack(lane, last, pull) > 1.25*startup {
+		if last == nil || last.Rank == "idle" || c.slack(lane, last, pull) > 1.25*startup {
 			continue
 		}
 		if last.Shape == api.Daemon && last.Rank == "production" {
 			continue // it takes the room of others
 		}
-		n := int(math.Ceil(math.Sqrt(squares / windows)))
+		n := int(math.Ceil(2.5 * math.Sqrt(squares/windows)))
 		out = append(out, sched.Unmet{Ask: askOf(last), Count: n})
 	}
 	return out
