--- a/internal/controller/headroom.go
+++ b/internal/controller/headroom.go
@@ -28,11 +28,38 @@
 	c.arrivals[m.Run.Lane] = l
 }
 
+// wanted is room to be kept, and the rank of the work it is kept for.
+type wanted struct {
+	rank int
+	sched.Unmet
+}
+
+// yielding gives copies of the machines with the room of tasks of a lower rank
+// added to what is free: that need not be kept, it can be taken when needed.
+// Call with the lock held.
+func (c *Controller) yielding(hosts []*sched.Host, rank int) []*sched.Host {
+	out := make([]*sched.Host, len(hosts))
+	for i, h := range hosts {
+		x := *h
+		for _, pl := range c.m.onHost[h.Name] {
+			j := c.m.jobs[pl.uid]
+			if j == nil || j.main.Gone || pl.p.Stop {
+				continue
+			}
+			if r, _ := api.RankOf(j.main.Run.Rank); r > rank {
+				x.Free = x.Free.Add(need(&j.main.Run))
+			}
+		}
+		out[i] = &x
+	}
+	return out
+}
+
 // headroom tells which tasks to keep room for that have not come yet: of lanes
 // whose jobs can't wait for a machine to boot, as many as arrivals fluctuate by
 // while one does. What ends in that time makes room for the average. Call with
 // the lock held.
-func (c *Controller) headroom(now time.Time) []sched.Unmet {
+func (c *Controller) headroom(now time.Time) []wanted {
 	startup, pull := 0.0, 0.0
 	for _, f := range c.flavors {
 		if startup == 0 || f.StartupS < startup {
@@ -44,7 +71,7 @@
 	}
 	boot := time.Duration(startup * float64(time.Second))
 	const windows = 4
-	var out []sched.Unmet
+	var out []wanted
 	for lane, l := range c.arrivals {
 		squares := 0.0
 		var last *api.Run
@@ -57,11 +84,21 @@
 		if last == nil || last.Rank == "idle" || c.slack(lane, last, pull) > 1.25*startup {
 			continue
 		}
-		if last.Shape == api.Daemon && last.Rank == "production" {
-			continue // it takes the room of others
-		}
 		n := int(math.Ceil(2.5 * math.Sqrt(squares/windows)))
-		out = append(out, sched.Unmet{Ask: askOf(last), Count: n})
+		rank, _ := api.RankOf(last.Rank)
+		ask := askOf(last)
+		if !last.Scatter {
+			out = append(out, wanted{rank, sched.Unmet{Ask: ask, Count: n}})
+			continue
+		}
+		sites := c.cfg.Facts.Zones
+		for _, site := range sites { // each zone takes its share of a scattered job
+			if ask.Site == "" || ask.Site == site {
+				a := ask
+				a.Site = site
+				out = append(out, wanted{rank, sched.Unmet{Ask: a, Count: (n + len(sites) - 1) / len(sites)}})
+			}
+		}
 	}
 	return out
 }
@@ -96,10 +133,6 @@
 // spare tells whether an idle machine is part of the head-room: what is to be
 // kept room for would not fit without it. Call with the lock held.
 func (c *Controller) spare(host string, now time.Time) bool {
-	want := c.headroom(now)
-	if len(want) == 0 {
-		return false
-	}
 	var others []*sched.Host
 	for _, h := range c.plan(now).left {
 		if h.Name != host {
@@ -107,10 +140,10 @@
 		}
 	}
 	m := c.m.hosts[host].v
-	for i := range want {
-		u := &want[i]
+	for _, u := range c.headroom(now) {
+		room := c.yielding(others, u.rank)
 		for range u.Count {
-			h := sched.FullestFit(others, &u.Ask)
+			h := sched.FullestFit(room, &u.Ask)
 			if h == nil {
 				if u.Ask.Allows(m.Build, m.Site, m.Loaners) {
 					return true
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -106,7 +106,9 @@
 		// takes its share of what is coming.
 		sim := append(c.coming(now, true), p.left...)
 		sched.Plan(p.all, sim, nil, "", 0)
-		orders = append(orders, sched.Plan(c.headroom(now), sim, c.offers(now), c.cfg.Site, room)...)
+		for _, w := range c.headroom(now) {
+			orders = append(orders, sched.Plan([]sched.Unmet{w.Unmet}, c.yielding(sim, w.rank), c.offers(now), c.cfg.Site, room)...)
+		}
 	}
 	if len(orders) > 0 {
 		for _, x := range c.parts {
@@ -310,7 +312,7 @@
 	if s.Idle.IsZero() {
 		s.Idle = now
 	}
-	if now.Sub(s.Idle) > startup && !c.spare(host, now) {
+	if now.Sub(s.Idle) > startup/2 && !c.spare(host, now) {
 		drain("idle")
 	}
 }
