Move a machine's few replicas elsewhere when it saves the machine

Cause: after arrays end, single replicas hold machines of two. A machine is drained only after two boots of holding replicas that fit on warm machines in use in its zone.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -59,6 +59,7 @@
 	adopt    map[string]part.Machine // strangers to be recorded
 	retryAt  map[string]time.Time    // jobs that failed, when they are tried again
 	errSeen  map[string]int
+	movedAt  time.Time            // when replicas were last moved to save a machine
 	arrivals map[string][]arrival // by lane, the recent ones
 }
 
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"violetturn/internal/api"
 	"violetturn/internal/cloud"
 	"violetturn/internal/part"
 	"violetturn/internal/sched"
@@ -307,6 +308,14 @@
 	}
 	if len(c.m.onHost[host]) > 0 || s.Report != nil && len(s.Report.Pieces) > 0 {
 		s.Idle = time.Time{}
+		if !c.movable(host, startup, now) {
+			s.Loose = time.Time{}
+		} else if s.Loose.IsZero() {
+			s.Loose = now
+		} else if now.Sub(s.Loose) > 2*startup && now.Sub(c.movedAt) > startup {
+			c.movedAt = now
+			drain("its replicas fit elsewhere")
+		}
 		return
 	}
 	if s.Idle.IsZero() {
@@ -316,3 +325,41 @@
 		drain("idle")
 	}
 }
+
+// movable tells whether a machine holds nothing but a few replicas that have run
+// for a while and fit on machines in use elsewhere that have their images, so
+// that moving them costs seconds and saves a machine. Call with the lock held.
+func (c *Controller) movable(host string, startup time.Duration, now time.Time) bool {
+	m := c.m.hosts[host].v
+	cp, _ := c.capOf(m.Build)
+	used := sched.Room{}
+	for _, pl := range c.m.onHost[host] {
+		j := c.m.jobs[pl.uid]
+		if j == nil || j.main.Gone || pl.p.Stop || j.main.Run.Shape != api.Daemon {
+			return false
+		}
+		started := time.UnixMilli(j.main.AtMS).Add(time.Duration(pl.p.AtS) * time.Second)
+		if now.Sub(started) < startup {
+			return false
+		}
+		used = used.Add(need(&j.main.Run))
+	}
+	if !cp.Fits(used.Times(2)) {
+		return false
+	}
+	var others []*sched.Host
+	for _, h := range c.plan(now).left {
+		if h.Name != host && h.Daemons > 0 && h.Site == m.Site {
+			others = append(others, h)
+		}
+	}
+	for _, pl := range c.m.onHost[host] {
+		a := askOf(&c.m.jobs[pl.uid].main.Run)
+		h := sched.FullestFit(others, &a)
+		if h == nil || !h.Warm[a.Bundle] {
+			return false
+		}
+		h.Free = h.Free.Sub(a.Need)
+	}
+	return !c.spare(host, now)
+}
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -74,6 +74,7 @@
 	Releases map[string]Release
 	Errors   map[string]bool // jobs whose tasks failed there since one last succeeded
 	Idle     time.Time       // since when it has no task; zero: it has some
+	Loose    time.Time       // since when its few replicas would fit elsewhere; zero: they don't
 	Drain    bool            // it takes no more tasks: it is to be returned
 	Asked    time.Time       // when a fence was last sent
 	Listed   bool            // the cloud has listed it
