--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -17,29 +17,66 @@
 	"violetturn/internal/config"
 	"violetturn/internal/job"
 	"violetturn/internal/part"
+	"violetturn/internal/sched"
 	"violetturn/internal/store"
 	"violetturn/internal/transport"
 	"violetturn/internal/worker"
 )
 
+// The outside systems, as the controller uses them.
+type (
+	stateService interface {
+		Get(ctx context.Context, key string, r store.Rank) (it store.Item, found bool, err error)
+		List(ctx context.Context, prefix string) (items []store.Item, epoch uint64, err error)
+		Changes(ctx context.Context, prefix string, since uint64, block time.Duration) ([]store.Change, uint64, error)
+		Multi(ctx context.Context, t *store.Txn, r store.Rank) (epoch uint64, ok bool, failed []string, err error)
+		Hold(ctx context.Context, ttl time.Duration) (uint64, error)
+		Touch(ctx context.Context, permit uint64) error
+		Release(ctx context.Context, permit uint64) error
+	}
+	cloudService interface {
+		Flavors(ctx context.Context) ([]cloud.Flavor, error)
+		Rent(ctx context.Context, r cloud.Rental) ([]string, error)
+		Return(ctx context.Context, hosts []string) error
+		List(ctx context.Context) ([]cloud.Host, error)
+	}
+	workerService interface {
+		Command(ctx context.Context, addr string, o api.Orders) (*api.Checkin, bool, error)
+	}
+)
+
 // Controller is one node of the service.
 type Controller struct {
 	cfg     *config.Settings
 	log     *slog.Logger
-	store   *store.Client
-	cloud   *cloud.Client
-	workers *worker.Client
+	now     func() time.Time
+	spawn   func(func()) // runs work aside
+	store   stateService
+	cloud   cloudService
+	workers workerService
 	http    *transport.Client
 	server  *transport.Server
 	inc     uint64 // this life of the process
 	rnd     *rand.Rand
 	parts   []string // all parts, by name of their home controller
 
-	wake     chan struct{} // the decider has something to do
-	accepts  chan *accept
-	barriers chan chan error
-	fencing  chan struct{} // bounds fences under way
-	users    chan struct{} // bounds user requests under way
+	wake    chan struct{} // the decider has something to do
+	fencing chan struct{} // bounds fences under way
+	users   chan struct{} // bounds user requests under way
+
+	barrier struct {
+		sync.Mutex
+		next    *barrier // those who asked after the read under way was sent
+		reading bool
+	}
+
+	line struct { // submissions to be committed
+		sync.Mutex
+		queue []*accept
+		busy  bool
+	}
+
+	renting renting
 
 	mu       sync.Mutex
 	m        *mirror
@@ -84,23 +121,31 @@
 		return nil, fmt.Errorf("client: %w", err)
 	}
 	n := float64(cfg.Facts.Size)
-	c := &Controller{cfg: cfg, log: log, http: h, inc: rand.Uint64() >> 12, rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		wake: make(chan struct{}, 1), accepts: make(chan *accept, 64), barriers: make(chan chan error, 256),
+	c := newController(cfg, log)
+	c.http = h
+	c.store = store.New(h, cfg.External.State, cfg.HoldTTL()/3, cfg.Facts.State.RPS/n, cfg.Facts.State.WriteRPS/n)
+	c.cloud = cloud.New(h, cfg.External.Cloud, 3*time.Second, cfg.Facts.Cloud.RPS/n)
+	c.workers = worker.New(h, cfg.Report())
+	c.server = transport.NewServer(c.handle, cfg.Facts.Limits.MaxSockets*3/4)
+	return c, nil
+}
+
+// newController makes a controller without its outside systems.
+func newController(cfg *config.Settings, log *slog.Logger) *Controller {
+	c := &Controller{cfg: cfg, log: log, now: time.Now, spawn: func(f func()) { go f() }, inc: rand.Uint64() >> 12, rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		wake:    make(chan struct{}, 1),
 		fencing: make(chan struct{}, 8), users: make(chan struct{}, 128),
 		mine: map[string]*ownPart{}, sessions: map[string]*part.Session{}, absent: map[string]time.Time{}, homeUp: map[string]time.Time{},
 		booting: map[string]time.Time{}, refused: map[string]refusal{}, past: map[string]job.Past{}, adopt: map[string]part.Machine{},
-		retryAt: map[string]time.Time{}, errSeen: map[string]int{}, arrivals: map[string][]arrival{}}
+		retryAt: map[string]time.Time{}, errSeen: map[string]int{}, arrivals: map[string][]arrival{},
+		renting: renting{inDoubt: map[sched.Offer]cloud.Rental{}, seen: map[string]time.Time{}}}
 	c.m = newMirror(log, c.arrived)
-	c.store = store.New(h, cfg.External.State, cfg.HoldTTL()/3, cfg.Facts.State.RPS/n, cfg.Facts.State.WriteRPS/n, func(bool) {})
-	c.cloud = cloud.New(h, cfg.External.Cloud, 3*time.Second, cfg.Facts.Cloud.RPS/n)
-	c.workers = worker.New(h, cfg.Report())
 	c.parts = append(c.parts, cfg.HostName)
 	for _, m := range cfg.Members {
 		c.parts = append(c.parts, m.HostName)
 	}
 	slices.Sort(c.parts)
-	c.server = transport.NewServer(c.handle, cfg.Facts.Limits.MaxSockets*3/4)
-	return c, nil
+	return c
 }
 
 // Run serves until ctx ends.
@@ -110,7 +155,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){c.holdLoop, c.watchLoop, c.barrierLoop, c.decideLoop, c.acceptLoop, c.cloudLoop} {
+	for _, f := range []func(context.Context){c.holdLoop, c.watchLoop, c.decideLoop, c.cloudLoop} {
 		wg.Go(func() { f(ctx) })
 	}
 	select {
@@ -173,18 +218,10 @@
 		loaded, since := c.loaded, c.m.epoch
 		c.mu.Unlock()
 		if !loaded {
-			items, epoch, err := c.store.List(ctx, live)
-			if err != nil {
+			if err := c.load(ctx); err != nil {
 				c.log.Debug("mirror not loaded", "err", err)
 				sleep(ctx, c.cfg.HoldTTL()/8)
-				continue
 			}
-			c.mu.Lock()
-			c.m.reload(items, epoch)
-			c.loaded = true
-			c.mu.Unlock()
-			c.log.Info("mirror loaded", "keys", len(items), "epoch", epoch)
-			c.poke()
 			continue
 		}
 		err := c.catchUp(ctx, since, c.cfg.Lease()/2)
@@ -196,6 +233,22 @@
 	}
 }
 
+// load reads all that lives.
+func (c *Controller) load(ctx context.Context) error {
+	items, epoch, err := c.store.List(ctx, live)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.m.reload(items, epoch)
+	c.loaded = true
+	c.mu.Unlock()
+	c.log.Info("mirror loaded", "keys", len(items), "epoch", epoch)
+	c.poke()
+	return nil
+}
+
+// catchUp applies the changes after a revision; it waits up to block for some.
 func (c *Controller) catchUp(ctx context.Context, since uint64, block time.Duration) error {
 	log, epoch, err := c.store.Changes(ctx, live, since, block)
 	if errors.Is(err, store.ErrTooOld) {
@@ -223,54 +276,61 @@
 	return nil
 }
 
-// barrierLoop answers those who need the mirror to be at least as new as their
-// question: one read of the changes serves all that asked before it was sent.
-func (c *Controller) barrierLoop(ctx context.Context) {
-	for {
-		var waiting []chan error
-		select {
-		case b := <-c.barriers:
-			waiting = append(waiting, b)
-		case <-ctx.Done():
-			return
-		}
-		for more := true; more; {
-			select {
-			case b := <-c.barriers:
-				waiting = append(waiting, b)
-			default:
-				more = false
-			}
-		}
-		c.mu.Lock()
-		loaded, since := c.loaded, c.m.epoch
-		c.mu.Unlock()
-		err := store.ErrRefused
-		if loaded {
-			err = c.catchUp(ctx, since, 0)
-		}
-		for _, b := range waiting {
-			b <- err
-		}
-	}
+// barrier is one read of the changes and those who wait for it.
+type barrier struct {
+	done chan struct{}
+	err  error
 }
 
-// fresh returns once the mirror is at least as new as the call.
+// fresh returns once the mirror is at least as new as the call. One read serves
+// all that asked before it was sent; the first of them does it.
 func (c *Controller) fresh(ctx context.Context) error {
-	b := make(chan error, 1)
-	select {
-	case c.barriers <- b:
-	default:
-		return store.ErrRefused
+	c.barrier.Lock()
+	if c.barrier.next == nil {
+		c.barrier.next = &barrier{done: make(chan struct{})}
+	}
+	b := c.barrier.next
+	lead := !c.barrier.reading
+	c.barrier.reading = true
+	c.barrier.Unlock()
+	if lead {
+		c.readFor(ctx, b)
 	}
 	select {
-	case err := <-b:
-		return err
+	case <-b.done:
+		return b.err
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
 
+// readFor reads the changes for those waiting and sees to it that others who
+// came meanwhile are read for next.
+func (c *Controller) readFor(ctx context.Context, b *barrier) {
+	c.barrier.Lock()
+	c.barrier.next = nil
+	c.barrier.Unlock()
+	c.mu.Lock()
+	loaded, since := c.loaded, c.m.epoch
+	c.mu.Unlock()
+	b.err = store.ErrRefused
+	if loaded {
+		b.err = c.catchUp(ctx, since, 0)
+	}
+	close(b.done)
+	c.barrier.Lock()
+	next := c.barrier.next
+	c.barrier.reading = next != nil
+	c.barrier.Unlock()
+	if next != nil {
+		c.spawn(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), userPatience)
+			defer cancel()
+			c.readFor(ctx, next)
+		})
+	}
+}
+
 // commit sends a transaction and takes its outcome into the mirror. done is
 // false when it surely did not commit or when that is not known.
 func (c *Controller) commit(ctx context.Context, t *txn, r store.Rank) (done bool, failed []string, err error) {
--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -44,7 +44,7 @@
 	for _, step := range steps {
 		for range 16 { // each step commits one transaction at a time
 			c.mu.Lock()
-			act := c.canAct(time.Now())
+			act := c.canAct(c.now())
 			c.mu.Unlock()
 			if !act || ctx.Err() != nil {
 				return
@@ -126,7 +126,7 @@
 
 // releaseRound commits ended attempts of one own part and the room they free.
 func (c *Controller) releaseRound(ctx context.Context) bool {
-	now := time.Now()
+	now := c.now()
 	c.mu.Lock()
 	for _, p := range c.parts {
 		if c.owned(p) == nil || c.m.parts[p].v == nil {
@@ -310,7 +310,7 @@
 // placeRound commits placements into one part: own ones, or claims on a peer's
 // room by conditional write on its free-room record.
 func (c *Controller) placeRound(ctx context.Context) bool {
-	now := time.Now()
+	now := c.now()
 	c.mu.Lock()
 	pl := c.plan(now)
 	if len(pl.places) == 0 {
@@ -401,7 +401,7 @@
 // stopRound marks the tasks that have to leave their machines for others. The
 // owner of the machine's part sees the mark and stops them.
 func (c *Controller) stopRound(ctx context.Context) bool {
-	now := time.Now()
+	now := c.now()
 	c.mu.Lock()
 	pl := c.plan(now)
 	if len(pl.stops) == 0 {
@@ -442,7 +442,7 @@
 
 // upkeepRound writes an own part's record when its machines have changed.
 func (c *Controller) upkeepRound(ctx context.Context) bool {
-	now := time.Now()
+	now := c.now()
 	c.mu.Lock()
 	for p := range c.mine {
 		rec := c.m.parts[p]
@@ -484,7 +484,7 @@
 			break
 		}
 		m.Part = c.partFor(m.Site, names)
-		m.AtMS = time.Now().UnixMilli()
+		m.AtMS = c.now().UnixMilli()
 		t.guard(hostKey+host, 0)
 		t.write(hostKey+host, m)
 		names = append(names, host)
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -12,46 +12,51 @@
 
 // holdLoop keeps this node's hold and with it the parts it owns.
 func (c *Controller) holdLoop(ctx context.Context) {
-	ttl := c.cfg.HoldTTL()
 	for ctx.Err() == nil {
-		c.mu.Lock()
-		permit := c.permit
-		c.mu.Unlock()
-		sent := time.Now()
-		var err error
-		if permit == 0 {
-			if permit, err = c.store.Hold(ctx, ttl); err == nil {
-				c.log.Info("hold made", "permit", permit)
-				c.mu.Lock()
-				c.permit = permit
-				c.mu.Unlock()
-			}
-		} else if err = c.store.Touch(ctx, permit); errors.Is(err, store.ErrNoPermit) {
-			c.log.Info("hold lost", "permit", permit)
-			c.mu.Lock()
-			c.permit, c.validTil = 0, time.Time{}
-			clear(c.mine)
-			clear(c.sessions)
-			c.mu.Unlock()
-			continue
-		}
-		if err == nil {
+		sleep(ctx, c.holdStep(ctx))
+	}
+}
+
+// holdStep makes or renews the hold and tends the parts. It tells how long to
+// wait before the next step.
+func (c *Controller) holdStep(ctx context.Context) time.Duration {
+	ttl := c.cfg.HoldTTL()
+	c.mu.Lock()
+	permit := c.permit
+	c.mu.Unlock()
+	sent := c.now()
+	var err error
+	if permit == 0 {
+		if permit, err = c.store.Hold(ctx, ttl); err == nil {
+			c.log.Info("hold made", "permit", permit)
 			c.mu.Lock()
-			// Our clock may run slow against the service's: count a little less.
-			c.validTil = sent.Add(ttl - ttl/256)
+			c.permit = permit
 			c.mu.Unlock()
-			c.tendParts(ctx)
-			sleep(ctx, ttl/4)
-		} else {
-			sleep(ctx, ttl/10)
 		}
+	} else if err = c.store.Touch(ctx, permit); errors.Is(err, store.ErrNoPermit) {
+		c.log.Info("hold lost", "permit", permit)
+		c.mu.Lock()
+		c.permit, c.validTil = 0, time.Time{}
+		clear(c.mine)
+		clear(c.sessions)
+		c.mu.Unlock()
+		return 0
+	}
+	if err == nil {
+		c.mu.Lock()
+		// Our clock may run slow against the service's: count a little less.
+		c.validTil = sent.Add(ttl - ttl/256)
+		c.mu.Unlock()
+		c.tendParts(ctx)
+		return ttl / 4
 	}
+	return ttl / 10
 }
 
 // tendParts registers this node, takes parts without an owner and hands parts
 // back to their home controllers.
 func (c *Controller) tendParts(ctx context.Context) {
-	now := time.Now()
+	now := c.now()
 	ttl := c.cfg.HoldTTL()
 	me := c.cfg.HostName
 	c.mu.Lock()
@@ -175,7 +180,7 @@
 		c.log.Debug("part not taken", "part", p, "err", err)
 		return
 	}
-	now := time.Now()
+	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	v := c.m.owns[p]
@@ -254,7 +259,7 @@
 // are dropped from then on, and learns what runs there. Call with the lock held.
 func (c *Controller) fence(ctx context.Context, host string) {
 	m, s := c.m.hosts[host], c.sessions[host]
-	if m.v == nil || m.v.Addr == "" || s == nil || s.Fenced || time.Since(s.Asked) < c.cfg.Report() {
+	if m.v == nil || m.v.Addr == "" || s == nil || s.Fenced || c.now().Sub(s.Asked) < c.cfg.Report() {
 		return
 	}
 	select {
@@ -262,9 +267,9 @@
 	default:
 		return // the next round asks again
 	}
-	s.Asked = time.Now()
+	s.Asked = c.now()
 	term, addr := s.Term, m.v.Addr
-	go func() {
+	c.spawn(func() {
 		defer func() { <-c.fencing }()
 		tenure := uint64(1)
 		for range 2 {
@@ -283,7 +288,7 @@
 			}
 			tenure = r.Tenure
 		}
-	}()
+	})
 }
 
 // accept takes in a report and looks at what it says. Call with the lock held.
@@ -291,7 +296,7 @@
 	if !s.Accept(r) {
 		return false
 	}
-	s.Seen = time.Now()
+	s.Seen = c.now()
 	delete(c.booting, host)
 	c.poke()
 	return true
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -15,37 +15,46 @@
 
 // cloudLoop rents, lists and returns machines.
 func (c *Controller) cloudLoop(ctx context.Context) {
-	var flavorsAt, listAt time.Time
-	lag := time.Duration(c.cfg.Facts.Cloud.ListLagS * float64(time.Second))
-	inDoubt := map[sched.Offer]cloud.Rental{}
-	seen := map[string]time.Time{}
 	for ctx.Err() == nil {
-		now := time.Now()
-		if now.Sub(flavorsAt) > c.cfg.Lease()*2 {
-			if f, err := c.cloud.Flavors(ctx); err == nil {
-				flavorsAt = now
-				c.mu.Lock()
-				c.flavors = f
-				c.mu.Unlock()
-				c.poke()
-			} else {
-				c.log.Debug("machine types not read", "err", err)
-			}
+		c.cloudStep(ctx)
+		sleep(ctx, c.cfg.Report()/3)
+	}
+}
+
+// renting is what the cloud's rounds remember; only they use it.
+type renting struct {
+	flavorsAt, listAt time.Time
+	inDoubt           map[sched.Offer]cloud.Rental // rentals without an answer, repeated under their names
+	seen              map[string]time.Time         // listed machines without a record, since when
+}
+
+func (c *Controller) cloudStep(ctx context.Context) {
+	now := c.now()
+	r := &c.renting
+	if r.flavorsAt.IsZero() || now.Sub(r.flavorsAt) > c.cfg.Lease()*2 {
+		if f, err := c.cloud.Flavors(ctx); err == nil {
+			r.flavorsAt = now
+			c.mu.Lock()
+			c.flavors = f
+			c.mu.Unlock()
+			c.poke()
+		} else {
+			c.log.Debug("machine types not read", "err", err)
 		}
-		for range 6 { // a refusal is followed at once by the next best offer
-			if !c.rentRound(ctx, inDoubt) {
-				break
-			}
+	}
+	for range 6 { // a refusal is followed at once by the next best offer
+		if !c.rentRound(ctx, r.inDoubt) {
+			break
 		}
-		if now.Sub(listAt) > max(lag, c.cfg.Report()) {
-			if l, err := c.cloud.List(ctx); err == nil {
-				listAt = now
-				c.listed(l, seen, lag)
-			}
+	}
+	lag := time.Duration(c.cfg.Facts.Cloud.ListLagS * float64(time.Second))
+	if now.Sub(r.listAt) > max(lag, c.cfg.Report()) {
+		if l, err := c.cloud.List(ctx); err == nil {
+			r.listAt = now
+			c.listed(l, r.seen, lag)
 		}
-		c.returnRound(ctx)
-		sleep(ctx, c.cfg.Report()/3)
 	}
+	c.returnRound(ctx)
 }
 
 // offers lists what can be rented, less what was refused lately. Call with the
@@ -94,7 +103,7 @@
 // rentRound rents for what lacks room after the machines that are coming. It
 // tells whether an offer was refused, so that another may do.
 func (c *Controller) rentRound(ctx context.Context, inDoubt map[sched.Offer]cloud.Rental) (again bool) {
-	now := time.Now()
+	now := c.now()
 	c.mu.Lock()
 	p := c.plan(now)
 	var orders []sched.Order
@@ -182,7 +191,7 @@
 // listed takes in the cloud's list. It is late and may be older than the last
 // one, so it only raises questions; a return answers them.
 func (c *Controller) listed(l []cloud.Host, seen map[string]time.Time, lag time.Duration) {
-	now := time.Now()
+	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	in := map[string]bool{}
@@ -225,7 +234,7 @@
 
 // returnRound decides which machines go back and returns them.
 func (c *Controller) returnRound(ctx context.Context) {
-	now := time.Now()
+	now := c.now()
 	c.mu.Lock()
 	if !c.canAct(now) {
 		c.mu.Unlock()
@@ -271,7 +280,9 @@
 			s.Gone = true
 		}
 		if m := c.m.hosts[h]; m.v != nil {
-			c.http.Forget(m.v.Addr)
+			if c.http != nil {
+				c.http.Forget(m.v.Addr)
+			}
 		}
 	}
 	c.mu.Unlock()
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		return reply(400, map[string]string{"error": err.Error()})
 	}
-	now := time.Now()
+	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.loaded {
@@ -160,6 +160,6 @@
 			s.Drain = true
 		}
 	case api.CauseNoRoom:
-		s.Avoid = time.Now().Add(2 * c.cfg.Report())
+		s.Avoid = c.now().Add(2 * c.cfg.Report())
 	}
 }
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -161,14 +161,12 @@
 			return reply(422, map[string]string{"error": why})
 		}
 	}
-	m := &job.Main{Run: *r, Part: c.cfg.HostName, AtMS: time.Now().UnixMilli(), Chunk: job.ChunkSize(c.cfg.Facts.State.ValueKB)}
+	m := &job.Main{Run: *r, Part: c.cfg.HostName, AtMS: c.now().UnixMilli(), Chunk: job.ChunkSize(c.cfg.Facts.State.ValueKB)}
 	if float64(len(api.JSON(m))) > c.cfg.Facts.State.ValueKB*1024*7/8 { // room for what is added later
 		return reply(400, map[string]string{"error": "submission too long"})
 	}
 	a := &accept{ctx: ctx, main: m, out: make(chan transport.Response, 1)}
-	select {
-	case c.accepts <- a:
-	default:
+	if !c.enqueue(a) {
 		return errBusy
 	}
 	select {
@@ -217,32 +215,50 @@
 	return sched.Ask{Need: need(r), Builds: r.Builds, Site: r.Site, Loaners: r.Loaners, Bundle: r.Bundle, Daemon: r.Shape == api.Daemon}
 }
 
-// acceptLoop commits submissions, several in one transaction when they come
-// together.
-func (c *Controller) acceptLoop(ctx context.Context) {
-	for {
-		var batch []*accept
-		select {
-		case a := <-c.accepts:
+// enqueue adds a submission to the bounded line of those to be committed, and
+// sees to it that somebody commits them; false when the line is full.
+func (c *Controller) enqueue(a *accept) bool {
+	const most = 64
+	c.line.Lock()
+	if len(c.line.queue) >= most {
+		c.line.Unlock()
+		return false
+	}
+	c.line.queue = append(c.line.queue, a)
+	lead := !c.line.busy
+	c.line.busy = true
+	c.line.Unlock()
+	if lead {
+		c.commitLine()
+	}
+	return true
+}
+
+// commitLine commits the submissions in line, several in one transaction when
+// they came together: half of what a transaction takes, so that one batch does
+// not use up the writes that decisions need.
+func (c *Controller) commitLine() {
+	most := max(1, c.cfg.Facts.State.TxnOps/2)
+	var batch, rest []*accept
+	c.line.Lock()
+	for _, a := range c.line.queue {
+		if len(batch) < most && !sameUID(batch, a) {
 			batch = append(batch, a)
-		case <-ctx.Done():
-			return
-		}
-		// Half of what a transaction takes, so that one batch does not use up
-		// the writes that decisions need.
-		for more := true; more && len(batch) < max(1, c.cfg.Facts.State.TxnOps/2); {
-			select {
-			case a := <-c.accepts:
-				if !sameUID(batch, a) {
-					batch = append(batch, a)
-				} else {
-					a.out <- errBusy
-				}
-			default:
-				more = false
-			}
+		} else {
+			rest = append(rest, a)
 		}
-		c.acceptBatch(ctx, batch)
+	}
+	c.line.queue = rest
+	c.line.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), userPatience)
+	c.acceptBatch(ctx, batch)
+	cancel()
+	c.line.Lock()
+	more := len(c.line.queue) > 0
+	c.line.busy = more
+	c.line.Unlock()
+	if more {
+		c.spawn(c.commitLine)
 	}
 }
 
@@ -282,13 +298,11 @@
 				continue
 			}
 			// Known already, or the outcome is in doubt: only reading settles it.
-			go func() {
-				if s, found, kerr := c.known(a.ctx, uid); kerr == nil && found {
-					a.out <- reply(200, s)
-				} else {
-					a.out <- errBusy
-				}
-			}()
+			if s, found, kerr := c.known(a.ctx, uid); kerr == nil && found {
+				a.out <- reply(200, s)
+			} else {
+				a.out <- errBusy
+			}
 		}
 		if err == nil && len(rest) == len(batch) {
 			for _, a := range rest {
--- /dev/null
+++ b/internal/controller/world_test.go
@@ -0,0 +1,432 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"violetturn/internal/api"
+	"violetturn/internal/config"
+	"violetturn/internal/httpwire"
+	"violetturn/internal/standin"
+)
+
+// sim joins controllers with the stand-ins. It runs everything in one
+// goroutine, so that a seed gives the same day every time.
+type sim struct {
+	w       *standin.World
+	nodes   []*simNode
+	held    []func()             // reports held back by cuts
+	answers map[string]*inFlight // answers on their way to workers
+	uids    []string
+	log     *slog.Logger
+}
+
+type simNode struct {
+	name   string
+	c      *Controller
+	direct *standin.Direct
+	aside  []func()
+	up     bool
+}
+
+// inFlight is an answer that a worker still waits for.
+type inFlight struct {
+	o      api.Orders
+	sent   time.Time
+	tenure uint64
+}
+
+func settings(i int, names, zones []string, limits map[string]float64) *config.Settings {
+	s := &config.Settings{HostName: names[i], Site: zones[i%len(zones)]}
+	for k, n := range names {
+		if k != i {
+			s.Members = append(s.Members, config.Member{HostName: n, Site: zones[k%len(zones)]})
+		}
+	}
+	f := &s.Facts
+	f.Size, f.Zones = len(names), zones
+	f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = 1, 9, 40
+	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = 120, 25, 2, 6
+	f.Cloud.RPS, f.Cloud.ListLagS = 8, 2
+	f.Limits.MemoryMB, f.Limits.MaxSockets = 100, 900
+	for _, t := range []string{"a", "b"} {
+		f.Teams = append(f.Teams, config.Team{Name: t, GPUs: limits[t] / 2, GPUsMax: limits[t]})
+	}
+	return s
+}
+
+func newSim() *sim {
+	w := standin.New(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
+	w.Flavor = standin.Flavor{Label: "m", CPUs: 8, GPUs: 2, MemGB: 64, Boot: 6 * time.Second, Pull: 2 * time.Second}
+	w.Zones = []string{"x", "y"}
+	w.Lease, w.CancelS, w.Lag = 9*time.Second, 40*time.Second, 2*time.Second
+	w.Limits = map[string]float64{"a": 5}
+	s := &sim{w: w, answers: map[string]*inFlight{}, log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	if os.Getenv("SIM_LOG") != "" {
+		s.log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	}
+	for i := range 3 {
+		s.nodes = append(s.nodes, &simNode{name: fmt.Sprintf("n%d", i)})
+		s.start(i)
+	}
+	return s
+}
+
+// start starts a controller, anew with nothing but its settings.
+func (s *sim) start(i int) {
+	n := s.nodes[i]
+	names := []string{"n0", "n1", "n2"}
+	cfg := settings(i, names, s.w.Zones, s.w.Limits)
+	n.c = newController(cfg, s.log.With("node", n.name))
+	begin := s.w.Now
+	fast := float64(i) * 0.00025 // clocks run up to 0.05 per cent fast
+	n.c.now = func() time.Time {
+		return s.w.Now.Add(time.Duration(float64(s.w.Now.Sub(begin)) * fast))
+	}
+	n.aside = nil
+	c := n.c
+	c.spawn = func(f func()) {
+		if n.c == c {
+			n.aside = append(n.aside, f)
+		}
+	}
+	n.direct = &standin.Direct{W: s.w, Node: n.name}
+	c.store = &standin.Client{S: s.w.Store, Node: n.name, TxnOps: cfg.Facts.State.TxnOps, ValueB: int(cfg.Facts.State.ValueKB * 1024)}
+	c.cloud = &standin.CloudClient{C: s.w.Cloud, Node: n.name}
+	c.workers = n.direct
+	n.up = true
+}
+
+// step lets a controller do what its loops would.
+func (s *sim) step(i int) {
+	n := s.nodes[i]
+	if !n.up {
+		return
+	}
+	ctx := context.Background()
+	if n.c.loaded {
+		_ = n.c.catchUp(ctx, n.c.m.epoch, 0) // refused in an outage
+	} else {
+		_ = n.c.load(ctx)
+	}
+	n.c.holdStep(ctx)
+	n.c.decide(ctx)
+	n.c.cloudStep(ctx)
+	aside := n.aside
+	n.aside = nil
+	for _, f := range aside {
+		f()
+	}
+}
+
+type reportFault int
+
+const (
+	reportOK reportFault = iota
+	reportHeld
+	answerLost
+	answerSlow
+)
+
+// report lets a worker report to its controller.
+func (s *sim) report(x *standin.Worker, f reportFault) {
+	if !x.Up() {
+		return
+	}
+	if a := s.answers[x.Host]; a != nil {
+		delete(s.answers, x.Host)
+		if s.w.Now.Sub(a.sent) < 4*time.Second {
+			x.Answer(a.o, a.sent, a.tenure)
+		}
+		return
+	}
+	body := api.JSON(x.Report())
+	to := x.Node
+	if x.Cut || !s.nodes[to].up {
+		if x.Cut && f == reportHeld {
+			s.held = append(s.held, func() { s.deliver(to, body) })
+		}
+		x.Node = (to + 1) % len(s.nodes)
+		return
+	}
+	sent, tenure := s.w.Now, x.Tenure
+	status, o, steward := s.deliver(to, body)
+	switch {
+	case f == answerLost:
+		x.Node = (to + 1) % len(s.nodes)
+	case status == 200 && f == answerSlow:
+		s.answers[x.Host] = &inFlight{o, sent, tenure}
+	case status == 200:
+		x.Answer(o, sent, tenure)
+	case status == 421 && steward != "" && steward != s.nodes[to].name:
+		x.Node = slices.IndexFunc(s.nodes, func(n *simNode) bool { return n.name == steward })
+	default:
+		x.Node = (to + 1) % len(s.nodes)
+	}
+}
+
+func (s *sim) deliver(to int, body []byte) (int, api.Orders, string) {
+	n := s.nodes[to]
+	if !n.up {
+		return 0, api.Orders{}, ""
+	}
+	r := n.c.checkin(&httpwire.Message{Method: "POST", Target: "/checkin", Body: body})
+	var a struct {
+		api.Orders
+		Steward string `json:"steward"`
+	}
+	if err := json.Unmarshal(r.Body, &a); err != nil {
+		panic(err)
+	}
+	return r.Status, a.Orders, a.Steward
+}
+
+func (s *sim) submit(i int, uid string) {
+	if !s.nodes[i].up {
+		return
+	}
+	r := s.nodes[i].c.submit(context.Background(), submission(&s.w.Jobs[uid].Run))
+	s.told(uid, r.Status, r.Body, true)
+}
+
+func submission(r *api.Run) []byte {
+	m := map[string]any{"uid": r.UID, "lane": r.Lane, "owner": r.Owner, "shape": r.Shape, "rank": r.Rank, "pieces": r.Pieces,
+		"cpus": r.CPUs, "gpus": r.GPUs, "memGb": r.MemGB, "bundle": r.Bundle, "sizeGb": r.SizeGB, "together": r.Together,
+		"scatter": r.Scatter, "loaners": r.Loaners, "guessS": r.GuessS, "bookmarkS": r.BookmarkS, "stowS": r.StowS}
+	if r.Site != "" {
+		m["site"] = r.Site
+	}
+	return api.JSON(m)
+}
+
+func (s *sim) poll(i int, uid string) {
+	if s.nodes[i].up {
+		r := s.nodes[i].c.query(context.Background(), uid)
+		s.told(uid, r.Status, r.Body, false)
+	}
+}
+
+func (s *sim) cancel(i int, uid string) {
+	if !s.nodes[i].up {
+		return
+	}
+	s.w.Jobs[uid].AskedStop = true
+	r := s.nodes[i].c.cancel(context.Background(), uid)
+	s.told(uid, r.Status, r.Body, false)
+}
+
+func (s *sim) told(uid string, status int, body []byte, submission bool) {
+	var a struct {
+		Phase string `json:"phase"`
+	}
+	_ = json.Unmarshal(body, &a) // an answer without a phase has none
+	s.w.Told(uid, status, a.Phase, submission)
+}
+
+// round lets everybody do what they do in half a second.
+func (s *sim) round() {
+	for i := range s.nodes {
+		s.step(i)
+	}
+	for _, h := range s.w.Cloud.Names() {
+		s.report(s.w.Cloud.Hosts[h], reportOK)
+	}
+	s.w.Advance(500 * time.Millisecond)
+}
+
+// heal ends all troubles.
+func (s *sim) heal() {
+	s.w.Store.Down, s.w.Cloud.Down, s.w.Cloud.Full = false, false, false
+	clear(s.w.Store.Refuse)
+	for i, n := range s.nodes {
+		if !n.up {
+			s.start(i)
+		}
+	}
+	for _, x := range s.w.Cloud.Hosts {
+		x.Cut = false
+	}
+}
+
+func randomRun(t *rapid.T, uid string) (*api.Run, time.Duration) {
+	r := &api.Run{UID: uid, Lane: "l", Owner: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "owner"), Shape: rapid.SampledFrom([]string{api.Sweep, api.Daemon}).Draw(t, "shape"),
+		Rank: rapid.SampledFrom([]string{"production", "standard", "idle"}).Draw(t, "rank"), CPUs: 1, GPUs: 1, MemGB: 4, Bundle: "img", SizeGB: 1}
+	r.Pieces = rapid.IntRange(1, 5).Draw(t, "pieces")
+	if r.Shape == api.Sweep && rapid.IntRange(0, 5).Draw(t, "large") == 0 {
+		r.Pieces = rapid.IntRange(20, 60).Draw(t, "pieces") // several chunks
+	}
+	switch rapid.IntRange(0, 5).Draw(t, "where") {
+	case 0:
+		r.Together = true
+	case 1:
+		r.Scatter = true
+	case 2:
+		r.Site = "x"
+	}
+	r.Loaners = rapid.Bool().Draw(t, "loaners")
+	if rapid.Bool().Draw(t, "saves") {
+		r.BookmarkS, r.StowS = 5, 1
+	}
+	if r.Shape == api.Daemon {
+		r.Pieces = min(r.Pieces, 4)
+	}
+	return r, time.Duration(rapid.IntRange(1, 20).Draw(t, "run_s")) * time.Second
+}
+
+// trouble is the state machine's set of actions.
+func (s *sim) trouble(t *rapid.T) map[string]func(*rapid.T) {
+	node := func(t *rapid.T) int { return rapid.IntRange(0, len(s.nodes)-1).Draw(t, "node") }
+	host := func(t *rapid.T) *standin.Worker {
+		names := s.w.Cloud.Names()
+		if len(names) == 0 {
+			t.Skip("no machine")
+		}
+		return s.w.Cloud.Hosts[rapid.SampledFrom(names).Draw(t, "host")]
+	}
+	uid := func(t *rapid.T) string {
+		if len(s.uids) == 0 {
+			t.Skip("no job")
+		}
+		return rapid.SampledFrom(s.uids).Draw(t, "job")
+	}
+	submitNew := func(t *rapid.T) {
+		if len(s.uids) >= 12 {
+			t.Skip("enough jobs")
+		}
+		id := fmt.Sprintf("run-%06d", len(s.uids))
+		run, d := randomRun(t, id)
+		s.w.Jobs[id] = &standin.Job{Run: *run, RunTime: d, Done: map[int]bool{}}
+		s.uids = append(s.uids, id)
+		s.submit(node(t), id)
+	}
+	rounds := func(t *rapid.T) {
+		for range rapid.IntRange(1, 8).Draw(t, "rounds") {
+			s.round()
+		}
+	}
+	return map[string]func(*rapid.T){
+		"": func(t *rapid.T) {
+			if len(s.w.Broken) > 0 {
+				t.Fatalf("%v", s.w.Broken)
+			}
+		},
+		"submit":  submitNew,
+		"submit2": submitNew,
+		"round":   rounds,
+		"round2":  rounds,
+		"round3":  rounds,
+		"again":   func(t *rapid.T) { s.submit(node(t), uid(t)) },
+		"poll":    func(t *rapid.T) { s.poll(node(t), uid(t)) },
+		"cancel":  func(t *rapid.T) { s.cancel(node(t), uid(t)) },
+		"step":    func(t *rapid.T) { s.step(node(t)) },
+		"report": func(t *rapid.T) {
+			s.report(host(t), reportFault(rapid.IntRange(0, 3).Draw(t, "fault")))
+		},
+		"wait": func(t *rapid.T) {
+			s.w.Advance(time.Duration(rapid.IntRange(1, 60).Draw(t, "tenths")) * 100 * time.Millisecond)
+		},
+		"long": func(t *rapid.T) { // nobody does anything, or only one does
+			i := node(t)
+			for range rapid.IntRange(10, 40).Draw(t, "rounds") {
+				s.step(i)
+				s.w.Advance(500 * time.Millisecond)
+			}
+		},
+		"crash": func(t *rapid.T) { s.nodes[node(t)].up = false },
+		"start": func(t *rapid.T) {
+			if i := node(t); !s.nodes[i].up {
+				s.start(i)
+			}
+		},
+		"restart": func(t *rapid.T) { s.start(node(t)) },
+		"outage":  func(t *rapid.T) { s.w.Store.Down = !s.w.Store.Down },
+		"refuse": func(t *rapid.T) {
+			n := s.nodes[node(t)].name
+			s.w.Store.Refuse[n] = !s.w.Store.Refuse[n]
+		},
+		"lose": func(t *rapid.T) {
+			s.w.Store.Next[s.nodes[node(t)].name] = standin.Fault(rapid.IntRange(1, 3).Draw(t, "fault"))
+		},
+		"late": func(t *rapid.T) { s.w.Store.DeliverLate() },
+		"loseCloud": func(t *rapid.T) {
+			s.w.Cloud.Next[s.nodes[node(t)].name] = standin.Fault(rapid.IntRange(1, 2).Draw(t, "fault"))
+		},
+		"cloud": func(t *rapid.T) { s.w.Cloud.Down = !s.w.Cloud.Down },
+		"full":  func(t *rapid.T) { s.w.Cloud.Full = !s.w.Cloud.Full },
+		"kill":  func(t *rapid.T) { s.w.Cloud.Kill(host(t).Host) },
+		"recall": func(t *rapid.T) {
+			x, left := host(t), 4.0
+			if x.Loaners {
+				x.RecallS = &left
+			}
+		},
+		"cut": func(t *rapid.T) { x := host(t); x.Cut = !x.Cut },
+		"deliver": func(t *rapid.T) { // what cuts held back arrives
+			held := s.held
+			s.held = nil
+			for _, f := range held {
+				f()
+			}
+			for _, n := range s.nodes {
+				held := n.direct.Held
+				n.direct.Held = nil
+				for _, f := range held {
+					f()
+				}
+			}
+		},
+	}
+}
+
+// Under lost, late, repeated and reordered messages, crashes, outages, cuts and
+// dying machines no rule is broken, and once the troubles end every job that was
+// accepted runs.
+func TestRulesHoldUnderTrouble(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim()
+		for range 4 {
+			s.round()
+		}
+		t.Repeat(s.trouble(t))
+		s.heal()
+		for range 400 {
+			s.round()
+		}
+		if len(s.w.Broken) > 0 {
+			t.Fatalf("%v", s.w.Broken)
+		}
+		for _, id := range s.uids {
+			s.poll(0, id)
+			j := s.w.Jobs[id]
+			on := 0
+			for _, x := range s.w.Cloud.Hosts {
+				for _, p := range x.Report().Pieces {
+					if uid, _, _ := api.SplitPiece(p.Piece); uid == id && p.Phase == api.Running {
+						on++
+					}
+				}
+			}
+			switch {
+			case j.Phase == api.Withdrawn:
+				if on > 0 {
+					t.Fatalf("%s is cancelled and has %d tasks", id, on)
+				}
+			case !j.Told:
+			case j.Run.Shape == api.Sweep && j.Phase != api.Done:
+				t.Fatalf("%s has not been done: %d of %d", id, len(j.Done), j.Run.Pieces)
+			}
+		}
+		if len(s.w.Broken) > 0 {
+			t.Fatalf("%v", s.w.Broken)
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/machines.go
@@ -0,0 +1,310 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"violetturn/internal/api"
+	"violetturn/internal/cloud"
+)
+
+// Cloud rents machines.
+type Cloud struct {
+	w     *World
+	Down  bool
+	Full  bool             // no capacity
+	Next  map[string]Fault // what happens to a node's next rental or return
+	Hosts map[string]*Worker
+	gone  []*Worker // that the list still shows
+	hires map[string][]string
+	n     int
+}
+
+// Names lists the machines there are, in order.
+func (c *Cloud) Names() []string {
+	out := make([]string, 0, len(c.Hosts))
+	for n := range c.Hosts {
+		out = append(out, n)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Kill ends a machine without a word, as the cloud does with a spot one.
+func (c *Cloud) Kill(host string) {
+	if x := c.Hosts[host]; x != nil {
+		x.goneAt = c.w.Now
+		c.gone = append(c.gone, x)
+		delete(c.Hosts, host)
+	}
+}
+
+// CloudClient is the cloud as one node reaches it.
+type CloudClient struct {
+	C    *Cloud
+	Node string
+}
+
+// Flavors tells the machine types.
+func (c *CloudClient) Flavors(context.Context) ([]cloud.Flavor, error) {
+	if c.C.Down {
+		return nil, cloud.ErrTrouble
+	}
+	f := c.C.w.Flavor
+	return []cloud.Flavor{{Label: f.Label, CPUs: f.CPUs, GPUs: f.GPUs, MemGB: f.MemGB, PullGBPerS: 1, Price: 3, MarketPrice: 1, StartupS: f.Boot.Seconds(), Sites: c.C.w.Zones}}, nil
+}
+
+// Rent rents machines.
+func (c *CloudClient) Rent(_ context.Context, r cloud.Rental) ([]string, error) {
+	f := c.C.Next[c.Node]
+	delete(c.C.Next, c.Node)
+	if c.C.Down || f == LoseBefore {
+		return nil, cloud.ErrTrouble
+	}
+	if h, ok := c.C.hires[r.Hire]; ok {
+		return h, nil
+	}
+	if c.C.Full {
+		return nil, cloud.ErrNoCapacity
+	}
+	var out []string
+	for range r.HowMany {
+		name := fmt.Sprintf("i-%06d", c.C.n)
+		c.C.n++
+		c.C.Hosts[name] = &Worker{w: c.C.w, Host: name, Addr: "10.1.0.1:" + name, Build: r.Build, Site: r.Site, Loaners: r.Loaners,
+			Tenure: 1, upAt: c.C.w.Now.Add(c.C.w.Flavor.Boot), rented: c.C.w.Now}
+		out = append(out, name)
+	}
+	c.C.hires[r.Hire] = out
+	if f != None {
+		return nil, cloud.ErrTrouble
+	}
+	return out, nil
+}
+
+// Return gives machines back.
+func (c *CloudClient) Return(_ context.Context, hosts []string) error {
+	f := c.C.Next[c.Node]
+	delete(c.C.Next, c.Node)
+	if c.C.Down || f == LoseBefore {
+		return cloud.ErrTrouble
+	}
+	for _, h := range hosts {
+		c.C.Kill(h)
+	}
+	if f != None {
+		return cloud.ErrTrouble
+	}
+	return nil
+}
+
+// List tells what there was some time ago.
+func (c *CloudClient) List(context.Context) ([]cloud.Host, error) {
+	if c.C.Down {
+		return nil, cloud.ErrTrouble
+	}
+	then := c.C.w.Now.Add(-c.C.w.Lag)
+	var out []cloud.Host
+	show := func(x *Worker) {
+		if x.rented.After(then) || !x.goneAt.IsZero() && !x.goneAt.After(then) {
+			return
+		}
+		phase := "running"
+		if x.upAt.After(then) {
+			phase = "starting"
+		}
+		out = append(out, cloud.Host{UID: x.Host, Addr: x.Addr, Build: x.Build, Site: x.Site, Loaners: x.Loaners, Phase: phase, HeldS: then.Sub(x.rented).Seconds()})
+	}
+	for _, x := range c.C.Hosts {
+		show(x)
+	}
+	for _, x := range c.C.gone {
+		show(x)
+	}
+	slices.SortFunc(out, func(a, b cloud.Host) int {
+		if a.UID < b.UID {
+			return -1
+		}
+		return 1
+	})
+	return out, nil
+}
+
+// Worker is a machine's worker.
+type Worker struct {
+	w                       *World
+	Host, Addr, Build, Site string
+	Loaners                 bool
+	Tenure, Tick, Baton     uint64
+	Tasks                   []*Task
+	Node                    int // the controller it reports to
+	Cut                     bool
+	RecallS                 *float64
+
+	rented, upAt, goneAt time.Time
+	renewed              time.Time // when its last answered report was sent
+	session              time.Time // when the session began
+}
+
+// Task is an attempt on a machine.
+type Task struct {
+	uid       string
+	index     int
+	try       uint64
+	phase     string
+	cause     string
+	since     time.Time
+	saveUntil time.Time
+}
+
+// on tells whether the task is on its machine in the sense of the rules.
+func (t *Task) on() bool { return t.phase == api.Running || t.phase == api.Saving }
+
+// Up tells whether the machine has booted.
+func (x *Worker) Up() bool { return !x.w.Now.Before(x.upAt) }
+
+func (x *Worker) tick() {
+	if !x.Up() {
+		return
+	}
+	if x.session.IsZero() {
+		x.session = x.w.Now
+	}
+	last := x.session
+	if x.renewed.After(last) {
+		last = x.renewed
+	}
+	if x.w.Now.Sub(last) > x.w.Lease {
+		x.Tasks = nil
+		x.Tenure++
+		x.session, x.renewed = x.w.Now, time.Time{}
+		return
+	}
+	for _, t := range x.Tasks {
+		j := x.w.Jobs[t.uid]
+		switch {
+		case t.phase == api.Pulling && x.w.Now.Sub(t.since) >= x.w.Flavor.Pull:
+			t.phase, t.since = api.Running, x.w.Now
+			x.w.started(x, t)
+		case t.phase == api.Running && j.Run.Shape == api.Sweep && x.w.Now.Sub(t.since) >= j.RunTime:
+			t.phase, t.cause = api.Ended, api.CauseDone
+			j.Done[t.index] = true
+		case t.phase == api.Saving && !x.w.Now.Before(t.saveUntil):
+			t.phase, t.cause = api.Ended, api.CauseStopped
+		}
+	}
+}
+
+// Report makes a report.
+func (x *Worker) Report() *api.Checkin {
+	x.Tick++
+	c := &api.Checkin{Host: x.Host, Addr: x.Addr, Build: x.Build, Site: x.Site, Loaners: x.Loaners, Tenure: x.Tenure, Tick: x.Tick, Baton: x.Baton, RecallS: x.RecallS, Pieces: []api.PieceState{}}
+	for _, t := range x.Tasks {
+		c.Pieces = append(c.Pieces, api.PieceState{Piece: api.PieceName(t.uid, t.index), Try: t.try, Phase: t.phase, Cause: t.cause})
+	}
+	return c
+}
+
+// Answer takes in the answer to a report sent at the given time in the given
+// session.
+func (x *Worker) Answer(o api.Orders, sent time.Time, tenure uint64) {
+	if tenure != x.Tenure || o.Baton < x.Baton || o.Baton == 0 {
+		return
+	}
+	x.Baton = o.Baton
+	if sent.After(x.renewed) {
+		x.renewed = sent
+	}
+	x.execute(o.Orders)
+}
+
+func (x *Worker) execute(orders []api.Order) {
+	for _, o := range orders {
+		uid, i, ok := api.SplitPiece(o.Piece)
+		if !ok {
+			x.w.Break("orders", "piece %q", o.Piece)
+			continue
+		}
+		at := slices.IndexFunc(x.Tasks, func(t *Task) bool { return t.uid == uid && t.index == i && t.try == o.Try })
+		switch o.Verb {
+		case api.Launch:
+			if at < 0 {
+				x.launch(uid, i, o.Try)
+			}
+		case api.Halt:
+			if at < 0 || x.Tasks[at].phase == api.Ended {
+				continue
+			}
+			t, j := x.Tasks[at], x.w.Jobs[uid]
+			stow := j.Run.StowS
+			if t.phase == api.Running && j.Run.BookmarkS > 0 && o.LeewayS != nil && *o.LeewayS >= stow {
+				t.phase, t.saveUntil = api.Saving, x.w.Now.Add(time.Duration(stow*float64(time.Second)))
+			} else if t.phase != api.Saving || o.LeewayS == nil || *o.LeewayS == 0 {
+				t.phase, t.cause = api.Ended, api.CauseStopped
+			}
+		case api.Clear:
+			if at >= 0 && x.Tasks[at].phase == api.Ended {
+				x.Tasks = slices.Delete(x.Tasks, at, at+1)
+			}
+		}
+	}
+}
+
+func (x *Worker) launch(uid string, i int, try uint64) {
+	t := &Task{uid: uid, index: i, try: try, phase: api.Pulling, since: x.w.Now}
+	refuse := func(cause string) { t.phase, t.cause = api.Ended, cause }
+	j := x.w.Jobs[uid]
+	if j == nil || i >= j.Run.Pieces {
+		x.w.Break("orders", "launch of unknown %s", uid)
+		return
+	}
+	free := x.w.Flavor.GPUs
+	for _, o := range x.Tasks {
+		if o.phase == api.Ended {
+			continue
+		}
+		free -= x.w.Jobs[o.uid].Run.GPUs
+		if o.uid == uid && o.index == i {
+			refuse(api.CauseBusy)
+		}
+	}
+	if t.phase != api.Ended && j.Run.GPUs > free+1e-6 {
+		refuse(api.CauseNoRoom)
+	}
+	x.Tasks = append(x.Tasks, t)
+}
+
+// Direct reaches workers through /commands.
+type Direct struct {
+	W    *World
+	Node string
+	Held []func() // commands held back by cuts, to be carried out late
+}
+
+// Command sends direct orders. A worker that is cut off gets them when Held is
+// run; a machine that is not there never does.
+func (d *Direct) Command(_ context.Context, addr string, o api.Orders) (*api.Checkin, bool, error) {
+	for _, x := range d.W.Cloud.Hosts {
+		if x.Addr != addr || !x.Up() {
+			continue
+		}
+		run := func() (*api.Checkin, bool) {
+			ok := o.Baton >= x.Baton && o.Tenure == x.Tenure
+			if ok {
+				x.Baton = o.Baton
+				x.execute(o.Orders)
+			}
+			return x.Report(), ok
+		}
+		if x.Cut {
+			d.Held = append(d.Held, func() { run() })
+			break
+		}
+		r, ok := run()
+		return r, ok, nil
+	}
+	return nil, false, errors.New("no answer")
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,227 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"violetturn/internal/store"
+)
+
+// Fault is what happens to one request.
+type Fault int
+
+// Faults of single requests.
+const (
+	None       Fault = iota
+	LoseBefore       // it never arrives
+	LoseAfter        // it is carried out, the answer is lost
+	Late             // it is carried out when DeliverLate is called; the answer is lost
+)
+
+// Store is the state service.
+type Store struct {
+	w      *World
+	Down   bool
+	Refuse map[string]bool  // nodes that get 503
+	Next   map[string]Fault // what happens to a node's next transaction
+	epoch  uint64
+	keys   map[string]item
+	log    []store.Change
+	holds  map[uint64]*hold
+	permit uint64
+	late   []*store.Txn
+}
+
+type item struct {
+	v      json.RawMessage
+	stamp  uint64
+	permit uint64
+}
+
+type hold struct {
+	ttl time.Duration
+	end time.Time
+}
+
+func (s *Store) tick() {
+	for id, h := range s.holds {
+		if s.Down {
+			h.end = s.w.Now.Add(h.ttl) // holds get their full time back
+		} else if !s.w.Now.Before(h.end) {
+			s.end(id)
+		}
+	}
+}
+
+func (s *Store) end(id uint64) {
+	delete(s.holds, id)
+	var drop []string
+	for k, it := range s.keys {
+		if it.permit == id {
+			drop = append(drop, k)
+		}
+	}
+	if len(drop) == 0 {
+		return
+	}
+	slices.Sort(drop)
+	s.epoch++
+	for _, k := range drop {
+		delete(s.keys, k)
+		s.log = append(s.log, store.Change{Drop: k, Stamp: s.epoch})
+	}
+}
+
+// DeliverLate carries out the transactions that were held back.
+func (s *Store) DeliverLate() {
+	late := s.late
+	s.late = nil
+	for _, t := range late {
+		_, _, _, _ = s.apply(t) // nobody hears the answer
+	}
+}
+
+func (s *Store) apply(t *store.Txn) (uint64, bool, []string, error) {
+	for _, op := range t.Then {
+		if op.Permit != nil && s.holds[*op.Permit] == nil {
+			return 0, false, nil, store.ErrNoPermit
+		}
+	}
+	var failed []string
+	for _, g := range t.Guards {
+		if s.keys[g.Key].stamp != g.Stamp {
+			failed = append(failed, g.Key)
+		}
+	}
+	if failed != nil {
+		return s.epoch, false, failed, nil
+	}
+	s.epoch++
+	for _, op := range t.Then {
+		if op.Drop != "" {
+			if _, ok := s.keys[op.Drop]; ok {
+				delete(s.keys, op.Drop)
+				s.log = append(s.log, store.Change{Drop: op.Drop, Stamp: s.epoch})
+			}
+			continue
+		}
+		it := item{v: op.Value, stamp: s.epoch}
+		if op.Permit != nil {
+			it.permit = *op.Permit
+		}
+		s.keys[op.Write] = it
+		s.log = append(s.log, store.Change{Write: op.Write, Value: op.Value, Stamp: s.epoch})
+	}
+	return s.epoch, true, nil, nil
+}
+
+// Client is the state service as one node reaches it.
+type Client struct {
+	S      *Store
+	Node   string
+	TxnOps int
+	ValueB int
+}
+
+func (c *Client) refused() bool { return c.S.Down || c.S.Refuse[c.Node] }
+
+// Get reads a key.
+func (c *Client) Get(_ context.Context, key string, _ store.Rank) (store.Item, bool, error) {
+	if c.refused() {
+		return store.Item{}, false, store.ErrRefused
+	}
+	it, ok := c.S.keys[key]
+	return store.Item{Key: key, Value: it.v, Stamp: it.stamp}, ok, nil
+}
+
+// List reads the keys with a prefix.
+func (c *Client) List(_ context.Context, prefix string) ([]store.Item, uint64, error) {
+	if c.refused() {
+		return nil, 0, store.ErrRefused
+	}
+	var out []store.Item
+	for k, it := range c.S.keys {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, store.Item{Key: k, Value: it.v, Stamp: it.stamp})
+		}
+	}
+	slices.SortFunc(out, func(a, b store.Item) int { return strings.Compare(a.Key, b.Key) })
+	return out, c.S.epoch, nil
+}
+
+// Changes reads the changes since a revision; it never waits.
+func (c *Client) Changes(_ context.Context, prefix string, since uint64, _ time.Duration) ([]store.Change, uint64, error) {
+	if c.refused() {
+		return nil, 0, store.ErrRefused
+	}
+	var out []store.Change
+	for _, e := range c.S.log {
+		if e.Stamp > since && strings.HasPrefix(e.Write+e.Drop, prefix) {
+			out = append(out, e)
+		}
+	}
+	return out, c.S.epoch, nil
+}
+
+// Multi commits a transaction, or meets the fault set for it.
+func (c *Client) Multi(_ context.Context, t *store.Txn, _ store.Rank) (uint64, bool, []string, error) {
+	if c.refused() {
+		return 0, false, nil, store.ErrRefused
+	}
+	if len(t.Then) > c.TxnOps || len(t.Guards) > 4*c.TxnOps {
+		c.S.w.Break("limits", "transaction of %d changes, %d guards", len(t.Then), len(t.Guards))
+	}
+	for _, op := range t.Then {
+		if len(op.Value) > c.ValueB {
+			c.S.w.Break("limits", "%s has %d bytes", op.Write, len(op.Value))
+		}
+	}
+	f := c.S.Next[c.Node]
+	delete(c.S.Next, c.Node)
+	switch f {
+	case LoseBefore:
+		return 0, false, nil, store.ErrUnknown
+	case Late:
+		c.S.late = append(c.S.late, t)
+		return 0, false, nil, store.ErrUnknown
+	case LoseAfter:
+		_, _, _, _ = c.S.apply(t) // the answer is lost
+		return 0, false, nil, store.ErrUnknown
+	}
+	return c.S.apply(t)
+}
+
+// Hold makes a hold.
+func (c *Client) Hold(_ context.Context, ttl time.Duration) (uint64, error) {
+	if c.refused() {
+		return 0, store.ErrRefused
+	}
+	c.S.permit++
+	c.S.holds[c.S.permit] = &hold{ttl, c.S.w.Now.Add(ttl)}
+	return c.S.permit, nil
+}
+
+// Touch renews a hold.
+func (c *Client) Touch(_ context.Context, permit uint64) error {
+	if c.refused() {
+		return store.ErrRefused
+	}
+	h := c.S.holds[permit]
+	if h == nil {
+		return store.ErrNoPermit
+	}
+	h.end = c.S.w.Now.Add(h.ttl)
+	return nil
+}
+
+// Release ends a hold.
+func (c *Client) Release(_ context.Context, permit uint64) error {
+	if c.refused() {
+		return store.ErrRefused
+	}
+	c.S.end(permit)
+	return nil
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,162 @@
+// Package standin holds stand-ins for the outside systems: a state service, a
+// cloud, workers and users, written from PROTOCOL, in one simulated world with
+// its own clock and with faults. It checks PROTOCOL's rules as it goes. Nothing
+// in it runs by itself: a test, or one day a rehearsal, drives it step by step,
+// so that the same seed gives the same day.
+package standin
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"violetturn/internal/api"
+)
+
+// Flavor is the one machine type of the world.
+type Flavor struct {
+	Label             string
+	CPUs, GPUs, MemGB float64
+	Boot              time.Duration
+	Pull              time.Duration // of any image
+}
+
+// World is everything outside the controllers.
+type World struct {
+	Now     time.Time
+	Flavor  Flavor
+	Zones   []string
+	Lease   time.Duration
+	CancelS time.Duration
+	Limits  map[string]float64 // accelerators of a team's tasks at most
+	Lag     time.Duration      // of the cloud's list
+
+	Store  *Store
+	Cloud  *Cloud
+	Jobs   map[string]*Job
+	Broken []string // rules broken
+}
+
+// Job is a job as its user sees it.
+type Job struct {
+	Run       api.Run
+	RunTime   time.Duration // of a task
+	Told      bool          // a user was told that it is accepted
+	Phase     string        // last phase told, if it was done or withdrawn
+	AskedStop bool          // a user asked for its cancellation
+	StopTold  time.Time     // when its user was told that it is cancelled
+	Done      map[int]bool
+}
+
+// New makes a world.
+func New(start time.Time) *World {
+	w := &World{Now: start, Jobs: map[string]*Job{}, Limits: map[string]float64{}}
+	w.Store = &Store{w: w, keys: map[string]item{}, holds: map[uint64]*hold{}, Refuse: map[string]bool{}, Next: map[string]Fault{}}
+	w.Cloud = &Cloud{w: w, Hosts: map[string]*Worker{}, hires: map[string][]string{}, Next: map[string]Fault{}}
+	return w
+}
+
+// Break notes a broken rule.
+func (w *World) Break(rule, format string, args ...any) {
+	w.Broken = append(w.Broken, fmt.Sprintf("%s at %s: ", rule, w.Now.Format("15:04:05.000"))+fmt.Sprintf(format, args...))
+}
+
+// Advance moves the clock, in steps small enough for every timer.
+func (w *World) Advance(d time.Duration) {
+	for end := w.Now.Add(d); w.Now.Before(end); {
+		w.Now = w.Now.Add(min(100*time.Millisecond, end.Sub(w.Now)))
+		w.Store.tick()
+		for _, name := range w.Cloud.Names() {
+			w.Cloud.Hosts[name].tick()
+		}
+		for uid, j := range w.Jobs {
+			if j.StopTold.IsZero() || w.Now.Sub(j.StopTold) <= w.CancelS {
+				continue
+			}
+			for _, name := range w.Cloud.Names() {
+				for _, t := range w.Cloud.Hosts[name].Tasks {
+					if t.uid == uid && t.on() {
+						w.Break("ran_cancelled", "%s is on %s", api.PieceName(uid, t.index), name)
+					}
+				}
+			}
+		}
+	}
+}
+
+// started checks the rules at the moment when a task has its image.
+func (w *World) started(x *Worker, t *Task) {
+	j := w.Jobs[t.uid]
+	name := api.PieceName(t.uid, t.index)
+	r := &j.Run
+	used := 0.0
+	zones := map[string]int{}
+	for _, n := range w.Cloud.Names() {
+		h := w.Cloud.Hosts[n]
+		for _, o := range h.Tasks {
+			if !o.on() {
+				continue
+			}
+			if w.Jobs[o.uid].Run.Owner == r.Owner {
+				used += w.Jobs[o.uid].Run.GPUs
+			}
+			if o.uid == t.uid && o != t {
+				zones[h.Site]++
+			}
+			if o.uid == t.uid && o.index == t.index && h != x {
+				w.Break("ran_twice", "%s starts on %s while on %s", name, x.Host, n)
+			}
+		}
+	}
+	if lim := w.Limits[r.Owner]; lim > 0 && used > lim+1e-6 {
+		w.Break("quota", "%s uses %g of %g", r.Owner, used, lim)
+	}
+	if r.Site != "" && r.Site != x.Site || x.Loaners && !r.Loaners || r.Builds != nil && !slices.Contains(r.Builds, x.Build) {
+		w.Break("wrong_place", "%s on %s", name, x.Host)
+	}
+	if r.Scatter && zones[x.Site]+1 > int(math.Ceil(float64(r.Pieces)/2)) {
+		w.Break("wrong_place", "%s is the %d. in %s of %d", name, zones[x.Site]+1, x.Site, r.Pieces)
+	}
+	if r.Together {
+		for z := range zones {
+			if z != x.Site {
+				w.Break("wrong_place", "%s in %s, others in %s", name, x.Site, z)
+			}
+		}
+	}
+}
+
+// Told checks what a user was told of a job; status is that of the answer.
+func (w *World) Told(uid string, status int, phase string, submission bool) {
+	j := w.Jobs[uid]
+	if status == 200 || status == 201 {
+		if j == nil {
+			w.Break("invented", "%s is %s", uid, phase)
+			return
+		}
+		if j.Phase != "" && phase != j.Phase {
+			w.Break("went_back", "%s was %s and is %s", uid, j.Phase, phase)
+		}
+		switch phase {
+		case api.Done:
+			if len(j.Done) < j.Run.Pieces {
+				w.Break("not_done", "%s with %d of %d tasks done", uid, len(j.Done), j.Run.Pieces)
+			}
+			j.Phase = phase
+		case api.Withdrawn:
+			if !j.AskedStop {
+				w.Break("went_back", "%s is cancelled without its user", uid)
+			}
+			if j.StopTold.IsZero() {
+				j.StopTold = w.Now
+			}
+			j.Phase = phase
+		}
+		j.Told = true
+		return
+	}
+	if j != nil && j.Told && (status == 404 || submission && (status == 400 || status == 422)) {
+		w.Break("forgotten", "%s answered %d", uid, status)
+	}
+}
