Peer link: a node that can't reach the state service lets a peer serve

Cause: a node cut from the state service alone answered 503 to its users for as long as the cut lasted. It asks its peers over protobuf whether they reach the service and passes users' requests to one that does; in an outage of all it answers at once.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -15,8 +15,10 @@
 	"violetturn/internal/api"
 	"violetturn/internal/cloud"
 	"violetturn/internal/config"
+	"violetturn/internal/httpwire"
 	"violetturn/internal/job"
 	"violetturn/internal/part"
+	"violetturn/internal/peer"
 	"violetturn/internal/sched"
 	"violetturn/internal/store"
 	"violetturn/internal/transport"
@@ -54,6 +56,8 @@
 	store   stateService
 	cloud   cloudService
 	workers workerService
+	peers   *peer.Client
+	cluster *transport.Server // for the peers
 	http    *transport.Client
 	server  *transport.Server
 	inc     uint64 // this life of the process
@@ -81,6 +85,7 @@
 	mu       sync.Mutex
 	m        *mirror
 	loaded   bool
+	reach    reach
 	permit   uint64
 	validTil time.Time // our hold surely lasts until then
 	mine     map[string]*ownPart
@@ -123,10 +128,15 @@
 	n := float64(cfg.Facts.Size)
 	c := newController(cfg, log)
 	c.http = h
-	c.store = store.New(h, cfg.External.State, cfg.HoldTTL()/3, cfg.Facts.State.RPS/n, cfg.Facts.State.WriteRPS/n)
+	c.store = store.New(h, cfg.External.State, cfg.HoldTTL()/3, cfg.Facts.State.RPS/n, cfg.Facts.State.WriteRPS/n, c.storeAnswered)
 	c.cloud = cloud.New(h, cfg.External.Cloud, 3*time.Second, cfg.Facts.Cloud.RPS/n)
 	c.workers = worker.New(h, cfg.Report())
-	c.server = transport.NewServer(c.handle, cfg.Facts.Limits.MaxSockets*3/4)
+	c.peers = peer.New(h)
+	c.server = transport.NewServer(c.handle, httpwire.RequestLimits, cfg.Facts.Limits.MaxSockets*3/4)
+	// A peer's message holds a whole submission and a little more.
+	lim := httpwire.RequestLimits
+	lim.Body *= 2
+	c.cluster = transport.NewServer(c.handlePeer, lim, cfg.Facts.Limits.MaxSockets/16)
 	return c, nil
 }
 
@@ -138,7 +148,7 @@
 		mine: map[string]*ownPart{}, sessions: map[string]*part.Session{}, absent: map[string]time.Time{}, homeUp: map[string]time.Time{},
 		booting: map[string]time.Time{}, refused: map[string]refusal{}, past: map[string]job.Past{}, adopt: map[string]part.Machine{},
 		retryAt: map[string]time.Time{}, errSeen: map[string]int{}, arrivals: map[string][]arrival{},
-		renting: renting{inDoubt: map[sched.Offer]cloud.Rental{}, seen: map[string]time.Time{}}}
+		reach: reach{store: true, peers: map[string]bool{}}, renting: renting{inDoubt: map[sched.Offer]cloud.Rental{}, seen: map[string]time.Time{}}}
 	c.m = newMirror(log, c.arrived)
 	c.parts = append(c.parts, cfg.HostName)
 	for _, m := range cfg.Members {
@@ -150,19 +160,20 @@
 
 // Run serves until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
-	failed := make(chan error, 1)
+	failed := make(chan error, 2)
 	go func() { failed <- c.server.Run(c.cfg.ServeOn) }()
+	go func() { failed <- c.cluster.Run(c.cfg.ClusterListen) }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){c.holdLoop, c.watchLoop, c.decideLoop, c.cloudLoop} {
+	for _, f := range []func(context.Context){c.holdLoop, c.watchLoop, c.decideLoop, c.cloudLoop, c.peerLoop} {
 		wg.Go(func() { f(ctx) })
 	}
 	select {
 	case err := <-failed:
 		cancel()
 		wg.Wait()
-		return fmt.Errorf("serving on %s: %w", c.cfg.ServeOn, err)
+		return fmt.Errorf("serving on %s and %s: %w", c.cfg.ServeOn, c.cfg.ClusterListen, err)
 	case <-ctx.Done():
 	}
 	c.log.Info("stopping")
@@ -170,8 +181,10 @@
 	c.leave()
 	stop, done := context.WithTimeout(context.Background(), time.Second)
 	defer done()
-	if err := c.server.Engine().Stop(stop); err != nil {
-		return fmt.Errorf("stopping the server: %w", err)
+	for _, s := range []*transport.Server{c.server, c.cluster} {
+		if err := s.Stop(stop); err != nil {
+			return fmt.Errorf("stopping a server: %w", err)
+		}
 	}
 	return c.http.Close()
 }
@@ -285,6 +298,9 @@
 // fresh returns once the mirror is at least as new as the call. One read serves
 // all that asked before it was sent; the first of them does it.
 func (c *Controller) fresh(ctx context.Context) error {
+	if !c.reached() {
+		return store.ErrRefused // known not to answer: who asks is told at once
+	}
 	c.barrier.Lock()
 	if c.barrier.next == nil {
 		c.barrier.next = &barrier{done: make(chan struct{})}
--- /dev/null
+++ b/internal/controller/peers.go
@@ -0,0 +1,144 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"violetturn/internal/httpwire"
+	"violetturn/internal/peer"
+	"violetturn/internal/transport"
+)
+
+// reach is what a node knows of the state service and of its peers' sight of
+// it. A node can't tell an outage from a refusal of itself alone; peers can.
+type reach struct {
+	store bool            // our last request was served
+	since time.Time       // when that last changed
+	peers map[string]bool // peers that answer, and whether they reach the state service
+}
+
+// storeAnswered notes whether the state service served a request.
+func (c *Controller) storeAnswered(ok bool) {
+	c.mu.Lock()
+	if c.reach.store != ok {
+		c.reach.store, c.reach.since = ok, c.now()
+		c.log.Info("state service", "reached", ok)
+	}
+	c.mu.Unlock()
+}
+
+// reached tells whether the state service served our last request.
+func (c *Controller) reached() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reach.store
+}
+
+// peerLoop asks the peers for their sight of the state service while ours is
+// gone.
+func (c *Controller) peerLoop(ctx context.Context) {
+	for sleep(ctx, c.cfg.HoldTTL()/8) {
+		c.mu.Lock()
+		lost := c.loaded && !c.reach.store
+		c.mu.Unlock()
+		if !lost {
+			continue
+		}
+		for _, m := range c.cfg.Members {
+			r, err := c.peers.Ask(ctx, m.Addr, &peer.Request{Kind: peer.Request_KIND_HEALTH, From: c.cfg.HostName}, c.cfg.HoldTTL()/4)
+			c.mu.Lock()
+			if err != nil {
+				delete(c.reach.peers, m.HostName)
+			} else {
+				c.reach.peers[m.HostName] = r.GetStoreReached()
+			}
+			c.mu.Unlock()
+		}
+	}
+}
+
+// helper names a peer that can serve users for us while we can't reach the
+// state service; "" when we can, or nobody else can.
+func (c *Controller) helper() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reach.store || !c.loaded {
+		return ""
+	}
+	for _, m := range c.cfg.Members {
+		if c.reach.peers[m.HostName] {
+			return m.Addr
+		}
+	}
+	return ""
+}
+
+// isolated tells whether this node reaches neither the state service nor any
+// peer: then it can do nothing for users. An outage of the service alone leaves
+// the peers, and must not take all nodes out. Call with the lock held.
+func (c *Controller) isolated() bool {
+	return !c.reach.store && len(c.reach.peers) == 0 && len(c.cfg.Members) > 0 && c.now().Sub(c.reach.since) > c.cfg.HoldTTL()
+}
+
+// serve answers a user's request here, or lets a peer do it when this node
+// can't reach the state service and the peer can.
+func (c *Controller) serve(ctx context.Context, r *peer.Request) transport.Response {
+	if addr := c.helper(); addr != "" {
+		r.From = c.cfg.HostName
+		a, err := c.peers.Ask(ctx, addr, r, userPatience*3/4)
+		if err == nil && a.GetStatus() != 0 {
+			return transport.Response{Status: int(a.GetStatus()), Body: a.GetBody(), RetryAfter: int(a.GetRetryAfter())}
+		}
+		return errBusy // it may have been carried out: the user asks again
+	}
+	return c.local(ctx, r)
+}
+
+func (c *Controller) local(ctx context.Context, r *peer.Request) transport.Response {
+	switch r.GetKind() {
+	case peer.Request_KIND_SUBMIT:
+		return c.submit(ctx, r.GetBody())
+	case peer.Request_KIND_QUERY:
+		return c.query(ctx, r.GetUid())
+	case peer.Request_KIND_CANCEL:
+		return c.cancel(ctx, r.GetUid())
+	}
+	return transport.Response{Status: 404}
+}
+
+// handlePeer answers other controllers. What comes from a peer is never passed
+// on to another.
+func (c *Controller) handlePeer(req *httpwire.Message, later func(transport.Response)) (transport.Response, bool) {
+	var r peer.Request
+	if req.Method != "POST" || req.Target != peer.Path || proto.Unmarshal(req.Body, &r) != nil {
+		return transport.Response{Status: 400}, true
+	}
+	answer := func(a *peer.Reply) transport.Response {
+		b, err := proto.Marshal(a)
+		if err != nil {
+			return transport.Response{Status: 500}
+		}
+		return transport.Response{Status: 200, Body: b}
+	}
+	c.mu.Lock()
+	reached := c.loaded && c.reach.store
+	c.mu.Unlock()
+	if r.GetKind() == peer.Request_KIND_HEALTH || !reached {
+		return answer(&peer.Reply{StoreReached: reached}), true
+	}
+	select {
+	case c.users <- struct{}{}:
+	default:
+		return answer(&peer.Reply{StoreReached: reached, Status: uint32(errBusy.Status), Body: errBusy.Body, RetryAfter: uint32(errBusy.RetryAfter)}), true
+	}
+	go func() {
+		defer func() { <-c.users }()
+		ctx, cancel := context.WithTimeout(context.Background(), userPatience/2)
+		defer cancel()
+		resp := c.local(ctx, &r)
+		later(answer(&peer.Reply{StoreReached: reached, Status: uint32(resp.Status), Body: resp.Body, RetryAfter: uint32(resp.RetryAfter)}))
+	}()
+	return transport.Response{}, false
+}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -8,6 +8,7 @@
 	"violetturn/internal/api"
 	"violetturn/internal/httpwire"
 	"violetturn/internal/job"
+	"violetturn/internal/peer"
 	"violetturn/internal/sched"
 	"violetturn/internal/store"
 	"violetturn/internal/transport"
@@ -47,14 +48,20 @@
 		}
 		return c.health(), true
 	case path == "/v2/runs":
-		return method("POST", func(ctx context.Context) transport.Response { return c.submit(ctx, req.Body) })
+		return method("POST", func(ctx context.Context) transport.Response {
+			return c.serve(ctx, &peer.Request{Kind: peer.Request_KIND_SUBMIT, Body: req.Body})
+		})
 	}
 	if id, ok := strings.CutPrefix(path, "/v2/runs/"); ok {
 		if uid, ok := strings.CutSuffix(id, "/cancel"); ok {
-			return method("POST", func(ctx context.Context) transport.Response { return c.cancel(ctx, uid) })
+			return method("POST", func(ctx context.Context) transport.Response {
+				return c.serve(ctx, &peer.Request{Kind: peer.Request_KIND_CANCEL, Uid: uid})
+			})
 		}
 		if !strings.Contains(id, "/") {
-			return method("GET", func(ctx context.Context) transport.Response { return c.query(ctx, id) })
+			return method("GET", func(ctx context.Context) transport.Response {
+				return c.serve(ctx, &peer.Request{Kind: peer.Request_KIND_QUERY, Uid: id})
+			})
 		}
 	}
 	return reply(404, map[string]string{"error": "no such path"}), true
@@ -67,7 +74,7 @@
 func (c *Controller) health() transport.Response {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.loaded {
+	if !c.loaded || c.isolated() {
 		return errBusy
 	}
 	return reply(200, map[string]string{"node": c.cfg.HostName})
@@ -161,6 +168,9 @@
 			return reply(422, map[string]string{"error": why})
 		}
 	}
+	if !c.reached() {
+		return errBusy
+	}
 	m := &job.Main{Run: *r, Part: c.cfg.HostName, AtMS: c.now().UnixMilli(), Chunk: job.ChunkSize(c.cfg.Facts.State.ValueKB)}
 	if float64(len(api.JSON(m))) > c.cfg.Facts.State.ValueKB*1024*7/8 { // room for what is added later
 		return reply(400, map[string]string{"error": "submission too long"})
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -82,12 +82,14 @@
 	deadline time.Duration
 	reqs     *transport.Budget
 	writes   *transport.Budget
+	onAnswer func(ok bool)
 }
 
 // New makes a client. deadline bounds an ordinary request; rps and writeRPS are
-// this controller's share.
-func New(h *transport.Client, addr string, deadline time.Duration, rps, writeRPS float64) *Client {
-	return &Client{http: h, addr: addr, deadline: deadline, reqs: transport.NewBudget(rps, rps), writes: transport.NewBudget(writeRPS, writeRPS)}
+// this controller's share; onAnswer hears of each request whether the service
+// served it.
+func New(h *transport.Client, addr string, deadline time.Duration, rps, writeRPS float64, onAnswer func(ok bool)) *Client {
+	return &Client{http: h, addr: addr, deadline: deadline, reqs: transport.NewBudget(rps, rps), writes: transport.NewBudget(writeRPS, writeRPS), onAnswer: onAnswer}
 }
 
 // Used tells how many requests and writes were sent in all.
@@ -129,11 +131,13 @@
 	}
 	m, err := c.http.Do(ctx, c.addr, method, target, b, c.deadline+extra)
 	if err != nil {
+		c.onAnswer(false)
 		if errors.Is(err, transport.ErrNoResponse) {
 			return nil, ErrUnknown
 		}
 		return nil, ErrRefused
 	}
+	c.onAnswer(m.Status != 503)
 	if m.Status == 503 || m.Status == 429 {
 		return nil, ErrRefused
 	}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -4,6 +4,7 @@
 package transport
 
 import (
+	"context"
 	"errors"
 	"sync"
 
@@ -29,6 +30,7 @@
 type Server struct {
 	gnet.BuiltinEventEngine
 	handler  Handler
+	limits   httpwire.Limits
 	maxConns int
 
 	mu     sync.Mutex
@@ -37,9 +39,9 @@
 	conns  int
 }
 
-// NewServer makes a server that holds at most maxConns connections.
-func NewServer(h Handler, maxConns int) *Server {
-	return &Server{handler: h, maxConns: maxConns, booted: make(chan struct{})}
+// NewServer makes a server that takes requests within lim and holds at most maxConns connections.
+func NewServer(h Handler, lim httpwire.Limits, maxConns int) *Server {
+	return &Server{handler: h, limits: lim, maxConns: maxConns, booted: make(chan struct{})}
 }
 
 type serverConn struct {
@@ -53,14 +55,17 @@
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithReadBufferCap(16<<10), gnet.WithLogger(quiet{}), gnet.WithLogLevel(logging.ErrorLevel))
 }
 
-// Booted is closed once the server listens.
-func (s *Server) Booted() <-chan struct{} { return s.booted }
-
-// Engine gives the running engine, to stop it.
-func (s *Server) Engine() gnet.Engine {
+// Stop ends the server if it has started.
+func (s *Server) Stop(ctx context.Context) error {
+	select {
+	case <-s.booted:
+	default:
+		return nil
+	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.engine
+	e := s.engine
+	s.mu.Unlock()
+	return e.Stop(ctx)
 }
 
 // OnBoot implements gnet.EventHandler.
@@ -78,7 +83,7 @@
 	if s.conns > s.maxConns {
 		return nil, gnet.Close
 	}
-	c.SetContext(&serverConn{parser: httpwire.NewParser(false, httpwire.RequestLimits)})
+	c.SetContext(&serverConn{parser: httpwire.NewParser(false, s.limits)})
 	return nil, gnet.None
 }
 
