--- a/cmd/violetturn/main.go
+++ b/cmd/violetturn/main.go
@@ -22,9 +22,10 @@
 
 type cli struct {
 	Config  string           `help:"Settings file (TOML) that the platform hands over." required:"" type:"path" placeholder:"FILE"`
+	Policy  string           `help:"Policy file (TOML) with the operators' own expressions. Built-in policy without it." type:"path" placeholder:"FILE"`
 	Version kong.VersionFlag `help:"Print the version and exit."`
 	Serve   struct{}         `cmd:"" default:"1" help:"Run a controller (the default)."`
-	Check   struct{}         `cmd:"" help:"Check the settings and exit."`
+	Check   struct{}         `cmd:"" help:"Check the settings, and the policy if given, and exit."`
 }
 
 // exitUsage is the exit code for bad settings or arguments: nothing was served.
@@ -51,6 +52,11 @@
 		fmt.Fprintf(os.Stderr, "violetturn: %v\n", err)
 		return exitUsage
 	}
+	policy, err := config.LoadPolicy(args.Policy)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "violetturn: %v\n", err)
+		return exitUsage
+	}
 	if ctx.Command() == "check" {
 		fmt.Printf("%s: in order\n", args.Config)
 		return 0
@@ -60,7 +66,7 @@
 	runtime.GOMAXPROCS(max(1, int(cfg.Facts.Limits.Cores+0.5)))
 	debug.SetMemoryLimit(int64(cfg.Facts.Limits.MemoryMB * 0.7 * (1 << 20)))
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
-	c, err := controller.New(cfg, log)
+	c, err := controller.New(cfg, policy, log)
 	if err != nil {
 		log.Error("not started", "err", err)
 		return 1
--- /dev/null
+++ b/internal/config/policy.go
@@ -0,0 +1,178 @@
+package config
+
+import (
+	"fmt"
+	"math"
+	"os"
+
+	"github.com/expr-lang/expr"
+	"github.com/expr-lang/expr/vm"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Policy is what operators may set: expressions, checked when they are read. The
+// defaults are built in. No policy can break a rule of PROTOCOL: preempt only
+// narrows what is allowed, and the rest decides order and money.
+type Policy struct {
+	weight, preempt, headroom, idle *vm.Program
+}
+
+// Work is what an expression knows of a job.
+type Work struct {
+	Lane       string  `expr:"lane"`
+	Owner      string  `expr:"owner"`
+	Shape      string  `expr:"shape"`      // "sweep" or "daemon"
+	Rank       int     `expr:"rank"`       // 0 is production, 3 is idle
+	Guaranteed bool    `expr:"guaranteed"` // it fits its team's guarantee
+	Age        float64 `expr:"age"`        // seconds since it was accepted
+	Slack      float64 `expr:"slack"`      // seconds it can wait and still meet its deadline; a large number without one
+	Pieces     int     `expr:"pieces"`
+	GPUs       float64 `expr:"gpus"`
+	CPUs       float64 `expr:"cpus"`
+}
+
+type weightEnv struct {
+	Job Work `expr:"job"`
+}
+
+type preemptEnv struct {
+	Job    Work    `expr:"job"`
+	Victim Work    `expr:"victim"`
+	Lost   float64 `expr:"lost"` // seconds of the victim's work that stopping it loses
+}
+
+type headroomEnv struct {
+	Job       Work    `expr:"job"`       // the lane's latest job
+	Deviation float64 `expr:"deviation"` // by how many tasks the lane's arrivals during a boot fluctuate
+	Startup   float64 `expr:"startup"`   // seconds that a machine boots
+	Slack     float64 `expr:"slack"`     // seconds that jobs of the lane can wait
+}
+
+type idleEnv struct {
+	Startup float64 `expr:"startup"`
+	Price   float64 `expr:"price"` // an hour
+	Loaners bool    `expr:"loaners"`
+}
+
+// defaultPolicy serves ranks in order, guarantees first within a rank, then
+// what has least slack, then the oldest.
+var defaultPolicy = policyFile{
+	Weight:   "-1000000 * job.rank + (job.guaranteed ? 500000 : 0)",
+	Preempt:  "true",
+	Headroom: "job.rank < 3 && slack <= 1.25 * startup ? 2.5 * deviation : 0",
+	Idle:     "startup / 2",
+}
+
+type policyFile struct {
+	Weight   string `toml:"weight"`
+	Preempt  string `toml:"preempt"`
+	Headroom string `toml:"headroom"`
+	Idle     string `toml:"idle_s"`
+}
+
+// DefaultPolicy is the built-in policy.
+func DefaultPolicy() *Policy {
+	p, err := compile(defaultPolicy)
+	if err != nil {
+		panic(err) // a built-in expression that does not check
+	}
+	return p
+}
+
+// LoadPolicy reads and checks a policy file; "" gives the built-in policy.
+func LoadPolicy(path string) (*Policy, error) {
+	if path == "" {
+		return DefaultPolicy(), nil
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("policy: %w", err)
+	}
+	p, err := ParsePolicy(b)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return p, nil
+}
+
+// ParsePolicy reads and checks a policy; what it leaves out stays as built in.
+func ParsePolicy(b []byte) (*Policy, error) {
+	f := defaultPolicy
+	if err := toml.Unmarshal(b, &f); err != nil {
+		return nil, fmt.Errorf("not valid: %w", err)
+	}
+	return compile(f)
+}
+
+func compile(f policyFile) (*Policy, error) {
+	p := &Policy{}
+	for _, x := range []struct {
+		name, src string
+		env, zero any
+		as        expr.Option
+		to        **vm.Program
+	}{
+		{"weight", f.Weight, weightEnv{}, 0.0, expr.AsFloat64(), &p.weight},
+		{"preempt", f.Preempt, preemptEnv{}, false, expr.AsBool(), &p.preempt},
+		{"headroom", f.Headroom, headroomEnv{}, 0.0, expr.AsFloat64(), &p.headroom},
+		{"idle_s", f.Idle, idleEnv{}, 0.0, expr.AsFloat64(), &p.idle},
+	} {
+		prog, err := expr.Compile(x.src, expr.Env(x.env), x.as)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", x.name, oneLine(err))
+		}
+		// A trial with everything zero finds what the types don't show.
+		if v, err := expr.Run(prog, x.env); err != nil {
+			return nil, fmt.Errorf("%s: %w", x.name, oneLine(err))
+		} else if f, ok := v.(float64); ok && math.IsNaN(f) {
+			return nil, fmt.Errorf("%s: not a number when everything is zero", x.name)
+		}
+		*x.to = prog
+	}
+	return p, nil
+}
+
+// oneLine keeps the first line of an error: the rest points into the source.
+func oneLine(err error) error {
+	s := err.Error()
+	for i := range len(s) {
+		if s[i] == '\n' {
+			return fmt.Errorf("%s", s[:i])
+		}
+	}
+	return err
+}
+
+// run evaluates an expression; one that fails or is not finite gives the fallback.
+func run[T any](p *vm.Program, env any, fallback T) T {
+	v, err := expr.Run(p, env)
+	if err != nil {
+		return fallback
+	}
+	if f, ok := v.(float64); ok && (math.IsNaN(f) || math.IsInf(f, 0)) {
+		return fallback
+	}
+	t, ok := v.(T)
+	if !ok {
+		return fallback
+	}
+	return t
+}
+
+// Weight orders jobs: the heaviest is served first.
+func (p *Policy) Weight(w Work) float64 { return run(p.weight, weightEnv{w}, 0.0) }
+
+// Preempt tells whether the job may stop the victim, where PROTOCOL allows it.
+func (p *Policy) Preempt(job, victim Work, lost float64) bool {
+	return run(p.preempt, preemptEnv{job, victim, lost}, false)
+}
+
+// Headroom is the number of tasks of a lane to keep room for.
+func (p *Policy) Headroom(w Work, deviation, startup, slack float64) float64 {
+	return min(max(run(p.headroom, headroomEnv{w, deviation, startup, slack}, 0.0), 0), 1000)
+}
+
+// Idle is for how many seconds a machine without tasks is kept.
+func (p *Policy) Idle(startup, price float64, loaners bool) float64 {
+	return max(run(p.idle, idleEnv{startup, price, loaners}, startup), 0)
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -50,6 +50,7 @@
 // Controller is one node of the service.
 type Controller struct {
 	cfg     *config.Settings
+	policy  *config.Policy
 	log     *slog.Logger
 	now     func() time.Time
 	spawn   func(func()) // runs work aside
@@ -120,13 +121,13 @@
 }
 
 // New makes a controller.
-func New(cfg *config.Settings, log *slog.Logger) (*Controller, error) {
+func New(cfg *config.Settings, policy *config.Policy, log *slog.Logger) (*Controller, error) {
 	h, err := transport.NewClient()
 	if err != nil {
 		return nil, fmt.Errorf("client: %w", err)
 	}
 	n := float64(cfg.Facts.Size)
-	c := newController(cfg, log)
+	c := newController(cfg, policy, log)
 	c.http = h
 	c.store = store.New(h, cfg.External.State, cfg.HoldTTL()/3, cfg.Facts.State.RPS/n, cfg.Facts.State.WriteRPS/n, c.storeAnswered)
 	c.cloud = cloud.New(h, cfg.External.Cloud, 3*time.Second, cfg.Facts.Cloud.RPS/n)
@@ -141,8 +142,8 @@
 }
 
 // newController makes a controller without its outside systems.
-func newController(cfg *config.Settings, log *slog.Logger) *Controller {
-	c := &Controller{cfg: cfg, log: log, now: time.Now, spawn: func(f func()) { go f() }, inc: rand.Uint64() >> 12, rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+func newController(cfg *config.Settings, policy *config.Policy, log *slog.Logger) *Controller {
+	c := &Controller{cfg: cfg, policy: policy, log: log, now: time.Now, spawn: func(f func()) { go f() }, inc: rand.Uint64() >> 12, rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		wake:    make(chan struct{}, 1),
 		fencing: make(chan struct{}, 8), users: make(chan struct{}, 128),
 		mine: map[string]*ownPart{}, sessions: map[string]*part.Session{}, absent: map[string]time.Time{}, homeUp: map[string]time.Time{},
--- a/internal/controller/headroom.go
+++ b/internal/controller/headroom.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"violetturn/internal/api"
+	"violetturn/internal/config"
 	"violetturn/internal/job"
 	"violetturn/internal/sched"
 )
@@ -16,6 +17,9 @@
 	need float64 // tasks
 }
 
+// never stands for a slack without end in expressions.
+const never = 1e9
+
 // mostArrivals bounds what is remembered of one lane.
 const mostArrivals = 64
 
@@ -81,11 +85,16 @@
 				last = a.run
 			}
 		}
-		if last == nil || last.Rank == "idle" || c.slack(lane, last, pull) > 1.25*startup {
+		if last == nil {
 			continue
 		}
-		n := int(math.Ceil(2.5 * math.Sqrt(squares/windows)))
 		rank, _ := api.RankOf(last.Rank)
+		slack := c.slack(lane, last, pull)
+		w := config.Work{Lane: lane, Owner: last.Owner, Shape: last.Shape, Rank: rank, Slack: min(slack, never), Pieces: last.Pieces, GPUs: last.GPUs, CPUs: last.CPUs}
+		n := int(math.Ceil(c.policy.Headroom(w, math.Sqrt(squares/windows), startup, min(slack, never))))
+		if n == 0 {
+			continue
+		}
 		ask := askOf(last)
 		if !last.Scatter {
 			out = append(out, wanted{rank, sched.Unmet{Ask: ask, Count: n}})
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"violetturn/internal/api"
+	"violetturn/internal/cloud"
+	"violetturn/internal/config"
 	"violetturn/internal/job"
 	"violetturn/internal/part"
 	"violetturn/internal/sched"
@@ -31,18 +33,16 @@
 }
 
 // capOf gives a machine type's size. Call with the lock held.
-func (c *Controller) capOf(build string) (sched.Room, *flavorInfo) {
+func (c *Controller) capOf(build string) (sched.Room, *cloud.Flavor) {
 	for i := range c.flavors {
 		f := &c.flavors[i]
 		if f.Label == build {
-			return sched.Room{CPUs: f.CPUs, GPUs: f.GPUs, MemGB: f.MemGB}, &flavorInfo{f.StartupS}
+			return sched.Room{CPUs: f.CPUs, GPUs: f.GPUs, MemGB: f.MemGB}, f
 		}
 	}
 	return sched.Room{}, nil
 }
 
-type flavorInfo struct{ startupS float64 }
-
 // usable tells whether a machine of an own part can take tasks. Call with the
 // lock held.
 func (c *Controller) usable(host string, now time.Time) bool {
@@ -125,11 +125,24 @@
 	rank      int
 	guarantee bool
 	mine      bool
+	work      config.Work
+	weight    float64
+}
+
+// describe tells expressions of a job. Call with the lock held.
+func (c *Controller) describe(j *liveJob, rank int, guarantee bool, now time.Time) config.Work {
+	r := &j.main.Run
+	w := config.Work{Lane: r.Lane, Owner: r.Owner, Shape: r.Shape, Rank: rank, Guaranteed: guarantee, Pieces: r.Pieces, GPUs: r.GPUs, CPUs: r.CPUs,
+		Age: float64(now.UnixMilli()-j.main.AtMS) / 1000, Slack: never}
+	if r.DueS != nil {
+		w.Slack = *r.DueS - w.Age - r.GuessS
+	}
+	return w
 }
 
-// queue lists the living jobs in the order in which they are served: rank, then
-// what is within a team's guarantee, then age. Call with the lock held.
-func (c *Controller) queue() []queued {
+// queue lists the living jobs in the order in which they are served: by weight
+// (by default rank, then what is within a team's guarantee), then age. Call with the lock held.
+func (c *Controller) queue(now time.Time) []queued {
 	var q []queued
 	byTeam := map[string][]*liveJob{}
 	for _, j := range c.m.jobs {
@@ -148,11 +161,12 @@
 			gpus += r.GPUs * left
 			rank, _ := api.RankOf(r.Rank)
 			within := (team.CPUs > 0 || team.GPUs > 0) && (team.CPUs == 0 || cpus <= team.CPUs+1e-6) && (team.GPUs == 0 || gpus <= team.GPUs+1e-6)
-			q = append(q, queued{j: j, uid: r.UID, rank: rank, guarantee: within, mine: c.owned(j.main.Part) != nil})
+			w := c.describe(j, rank, within, now)
+			q = append(q, queued{j: j, uid: r.UID, rank: rank, guarantee: within, mine: c.owned(j.main.Part) != nil, work: w, weight: c.policy.Weight(w)})
 		}
 	}
 	slices.SortFunc(q, func(a, b queued) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), -compareBool(a.guarantee, b.guarantee), byAge(a.j, b.j))
+		return cmp.Or(-cmp.Compare(a.weight, b.weight), byAge(a.j, b.j))
 	})
 	return q
 }
@@ -256,19 +270,19 @@
 		return out
 	}
 	hosts := c.hosts(now)
-	queue := c.queue()
+	queue := c.queue(now)
 	use := map[string]sched.Room{}
 	for _, t := range c.cfg.Facts.Teams {
 		if t.Limited() {
 			use[t.Name] = c.teamUse(t.Name)
 		}
 	}
-	// Among jobs of one rank, within their guarantees or not, own ones come
-	// first: those of peers are placed by them, and what they will take is only
+	// Among jobs of one weight (by default: of one rank, within their guarantees
+	// or not) own ones come first: those of peers are placed by them, and what they will take is only
 	// kept from what comes after them. Without that a peer's job would first see
 	// its room taken and then stop the taker to get it back.
 	slices.SortStableFunc(queue, func(a, b queued) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), -compareBool(a.guarantee, b.guarantee), -compareBool(a.mine, b.mine))
+		return cmp.Or(-cmp.Compare(a.weight, b.weight), -compareBool(a.mine, b.mine))
 	})
 	type lacking struct {
 		q     queued
@@ -438,8 +452,13 @@
 			if j == nil || j.main.Gone || pl.p.Stop || slices.Contains(already, pl) || !c.mayStop(q, &j.main.Run, over[pl.uid]) {
 				continue
 			}
+			cost := lost(j, pl.p, now)
+			rank, _ := api.RankOf(j.main.Run.Rank)
+			if !c.policy.Preempt(q.work, c.describe(j, rank, !over[pl.uid], now), cost) {
+				continue
+			}
 			byName[id] = pl
-			cand = append(cand, sched.Victim{Piece: id, Room: need(&j.main.Run), Cost: lost(j, pl.p, now)})
+			cand = append(cand, sched.Victim{Piece: id, Room: need(&j.main.Run), Cost: cost})
 		}
 		take, cost := sched.Preempt(h.Free, a.Need, cand)
 		if take == nil || best != nil && cost >= bestCost {
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -74,6 +74,13 @@
 	return out
 }
 
+func priceOf(f *cloud.Flavor, loaners bool) float64 {
+	if loaners {
+		return f.MarketPrice
+	}
+	return f.Price
+}
+
 func offerKey(o sched.Offer) string { return fmt.Sprintf("%s/%s/%t", o.Build, o.Site, o.Loaners) }
 
 // coming lists the machines that have not come up yet: those rented for this
@@ -92,7 +99,7 @@
 		if _, up := rec.Free[host]; up {
 			continue
 		}
-		if float64(now.UnixMilli()-m.v.AtMS)/1000 > 2*f.startupS {
+		if float64(now.UnixMilli()-m.v.AtMS)/1000 > 2*f.StartupS {
 			continue // late: it may never come
 		}
 		out = append(out, &sched.Host{Name: host, Part: m.v.Part, Build: m.v.Build, Site: m.v.Site, Loaners: m.v.Loaners, Cap: cp, Free: cp})
@@ -180,7 +187,7 @@
 	_, f := c.capOf(build)
 	startup := c.cfg.Lease()
 	if f != nil {
-		startup = time.Duration(f.startupS * float64(time.Second))
+		startup = time.Duration(f.StartupS * float64(time.Second))
 	}
 	r := c.refused[key]
 	r.wait = min(max(2*r.wait, startup/4), 2*startup)
@@ -296,7 +303,7 @@
 	if f == nil || s.Drain {
 		return
 	}
-	startup := time.Duration(f.startupS * float64(time.Second))
+	startup := time.Duration(f.StartupS * float64(time.Second))
 	drain := func(why string) {
 		s.Drain = true
 		c.log.Info("machine drained", "host", host, "why", why)
@@ -334,7 +341,7 @@
 	if s.Idle.IsZero() {
 		s.Idle = now
 	}
-	if now.Sub(s.Idle) > startup/2 && !c.spare(host, now) {
+	if now.Sub(s.Idle).Seconds() > c.policy.Idle(f.StartupS, priceOf(f, m.Loaners), m.Loaners) && !c.spare(host, now) {
 		drain("idle")
 	}
 }
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -86,7 +86,7 @@
 	n := s.nodes[i]
 	names := []string{"n0", "n1", "n2"}
 	cfg := settings(i, names, s.w.Zones, s.w.Limits)
-	n.c = newController(cfg, s.log.With("node", n.name))
+	n.c = newController(cfg, config.DefaultPolicy(), s.log.With("node", n.name))
 	begin := s.w.Now
 	fast := float64(i) * 0.00025 // clocks run up to 0.05 per cent fast
 	n.c.now = func() time.Time {
