--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -137,9 +137,20 @@
 	if r.DueS != nil {
 		w.Slack = *r.DueS - w.Age - r.GuessS
 	}
+	for _, o := range c.cfg.Facts.Objectives {
+		if o.Kind == "finished" && o.Class == r.Lane && r.Shape == api.Sweep {
+			w.Slack = min(w.Slack, o.WithinS-w.Age-r.GuessS)
+		}
+	}
 	return w
 }
 
+// bySlack puts first what has least slack, but what is late anyhow after all
+// that can still be in time.
+func bySlack(a, b config.Work) int {
+	return cmp.Or(-compareBool(a.Slack >= 0, b.Slack >= 0), cmp.Compare(max(a.Slack, 0), max(b.Slack, 0)))
+}
+
 // queue lists the living jobs in the order in which they are served: by weight
 // (by default rank, then what is within a team's guarantee), then age. Call with the lock held.
 func (c *Controller) queue(now time.Time) []queued {
@@ -166,7 +177,7 @@
 		}
 	}
 	slices.SortFunc(q, func(a, b queued) int {
-		return cmp.Or(-cmp.Compare(a.weight, b.weight), byAge(a.j, b.j))
+		return cmp.Or(-cmp.Compare(a.weight, b.weight), bySlack(a.work, b.work), byAge(a.j, b.j))
 	})
 	return q
 }
