--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -165,6 +165,11 @@
 			s = c.session(host, c.owned(p))
 		}
 		on := c.m.onHost[host]
+		for id := range s.Started {
+			if on[id] == nil {
+				delete(s.Started, id)
+			}
+		}
 		for id, r := range s.Releases {
 			if pl := on[id]; pl == nil || pl.p.Try != r.Try {
 				delete(s.Releases, id) // committed
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -51,6 +51,18 @@
 		now.Sub(s.Seen) < 3*c.cfg.Report()
 }
 
+// pull is how long fetching a job's image takes at least. Call with the lock held.
+func (c *Controller) pull(r *api.Run) float64 {
+	best := 0.0
+	for _, f := range c.flavors {
+		best = max(best, f.PullGBPerS)
+	}
+	if best <= 0 {
+		return 0
+	}
+	return r.SizeGB / best
+}
+
 // freeOf computes the free room of the usable machines of an own part from the
 // committed placements. Call with the lock held.
 func (c *Controller) freeOf(p string, now time.Time) map[string]sched.Room {
@@ -308,6 +320,7 @@
 			continue
 		}
 		ask := askOf(r)
+		ask.PullS = c.pull(r)
 		z := c.zonesOf(q.j)
 		team, _ := c.cfg.Team(r.Owner)
 		l := lacking{q: q, ask: ask, z: z}
@@ -472,6 +485,9 @@
 			cand = append(cand, sched.Victim{Piece: id, Room: need(&j.main.Run), Cost: cost})
 		}
 		take, cost := sched.Preempt(h.Free, a.Need, cand)
+		if !h.Warm[a.Bundle] {
+			cost += a.PullS // the task waits for its image there
+		}
 		if take == nil || best != nil && cost >= bestCost {
 			continue
 		}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -98,6 +98,10 @@
 		wanted[a] = true
 		l := listed[a]
 		_, released := s.Releases[id]
+		if l != nil && l.Phase == api.Running && s.Started[id] != pl.p.Try {
+			s.Started[id] = pl.p.Try
+			c.log.Info("task running", "task", name, "try", pl.p.Try, "host", host)
+		}
 		stop := j.main.Gone || pl.p.Stop || s.Drain || c.recalled(s, &j.main.Run)
 		switch {
 		case l != nil && l.Phase == api.Ended:
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -47,6 +47,7 @@
 	Loaners bool     // spot machines will do
 	Bundle  string
 	Daemon  bool                   // a service's replica
+	PullS   float64                // seconds that fetching its image takes
 	ZoneOK  func(site string) bool // what the job's other tasks leave; nil: any
 }
 
@@ -87,7 +88,11 @@
 	var bestLeft float64
 	better := func(h *Host, l float64) bool {
 		switch {
-		case best == nil || l < bestLeft-eps:
+		case best == nil:
+			return true
+		case a.Daemon && h.Warm[a.Bundle] != best.Warm[a.Bundle]:
+			return h.Warm[a.Bundle]
+		case l < bestLeft-eps:
 			return true
 		case l > bestLeft+eps:
 			return false
