Rent only for array tasks that can't wait for running ones' room

Cause: a burst of short tasks rented a machine each two, half of whose money went into booting. Run times are corrected by what was observed of the lane.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -103,6 +103,7 @@
 	retryAt  map[string]time.Time    // jobs that failed, when they are tried again
 	errSeen  map[string]int
 	movedAt  time.Time            // when replicas were last moved to save a machine
+	bias     map[string]float64   // by lane, run times against estimates
 	arrivals map[string][]arrival // by lane, the recent ones
 }
 
@@ -148,7 +149,7 @@
 		fencing: make(chan struct{}, 8), users: make(chan struct{}, 128),
 		mine: map[string]*ownPart{}, sessions: map[string]*part.Session{}, absent: map[string]time.Time{}, homeUp: map[string]time.Time{},
 		booting: map[string]time.Time{}, refused: map[string]refusal{}, past: map[string]job.Past{}, adopt: map[string]part.Machine{},
-		retryAt: map[string]time.Time{}, errSeen: map[string]int{}, arrivals: map[string][]arrival{},
+		retryAt: map[string]time.Time{}, errSeen: map[string]int{}, arrivals: map[string][]arrival{}, bias: map[string]float64{},
 		reach: reach{store: true, peers: map[string]bool{}}, renting: renting{inDoubt: map[sched.Offer]cloud.Rental{}, seen: map[string]time.Time{}}}
 	c.m = newMirror(log, c.arrived)
 	c.parts = append(c.parts, cfg.HostName)
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"net/url"
 	"slices"
 	"time"
@@ -146,13 +147,8 @@
 	r := &j.main.Run
 	w := config.Work{Lane: r.Lane, Owner: r.Owner, Shape: r.Shape, Rank: rank, Guaranteed: guarantee, Pieces: r.Pieces, GPUs: r.GPUs, CPUs: r.CPUs,
 		Age: float64(now.UnixMilli()-j.main.AtMS) / 1000, Slack: never}
-	if r.DueS != nil {
-		w.Slack = *r.DueS - w.Age - r.GuessS
-	}
-	for _, o := range c.cfg.Facts.Objectives {
-		if o.Kind == "finished" && o.Class == r.Lane && r.Shape == api.Sweep {
-			w.Slack = min(w.Slack, o.WithinS-w.Age-r.GuessS)
-		}
+	if in := c.within(r); in < never {
+		w.Slack = in - w.Age - c.runs(r)
 	}
 	return w
 }
@@ -208,6 +204,14 @@
 	return cmp.Or(cmp.Compare(a.main.AtMS, b.main.AtMS), cmp.Compare(a.main.Run.UID, b.main.Run.UID))
 }
 
+// lacking is a job with tasks that found no room.
+type lacking struct {
+	q     queued
+	ask   sched.Ask
+	tasks []task
+	z     *zones
+}
+
 // task is a task that is neither done nor placed.
 type task struct{ chunk, index int }
 
@@ -307,13 +311,7 @@
 	slices.SortStableFunc(queue, func(a, b queued) int {
 		return cmp.Or(-cmp.Compare(a.weight, b.weight), -compareBool(a.mine, b.mine))
 	})
-	type lacking struct {
-		q     queued
-		ask   sched.Ask
-		tasks []task
-		z     *zones
-	}
-	var lack []lacking
+	var lack []*lacking
 	for _, q := range queue {
 		r := &q.j.main.Run
 		if q.mine && c.backingOff(q, now) {
@@ -323,7 +321,7 @@
 		ask.PullS = c.pull(r)
 		z := c.zonesOf(q.j)
 		team, _ := c.cfg.Team(r.Owner)
-		l := lacking{q: q, ask: ask, z: z}
+		l := &lacking{q: q, ask: ask, z: z}
 		misses := map[int]bool{}
 		q.j.pending(func(t task) bool {
 			if team.Limited() {
@@ -357,17 +355,20 @@
 			return true
 		})
 		if len(l.tasks) > 0 {
-			out.all = append(out.all, sched.Unmet{Ask: ask, Count: len(l.tasks)})
-		}
-		if q.mine && len(l.tasks) > 0 {
 			lack = append(lack, l)
 		}
 	}
 	coming := c.vacating(hosts)
 	out.left = coming
 	over := c.beyondGuarantee(queue)
+	free := c.slots(coming, now)
 	for _, l := range lack {
 		u := sched.Unmet{Ask: l.ask}
+		wait := len(l.tasks) - c.canWait(l, free, now)
+		if !l.q.mine {
+			out.all = append(out.all, sched.Unmet{Ask: l.ask, Count: len(l.tasks) - wait})
+			continue
+		}
 		var left []task
 		for _, t := range l.tasks {
 			a := l.ask
@@ -388,10 +389,11 @@
 			}
 			left = append(left, t)
 		}
-		if len(left) == 0 {
+		if len(left) <= wait {
 			continue
 		}
-		u.Count = len(left)
+		u.Count = int(math.Ceil(float64(len(left)-wait) / c.rounds(l, now)))
+		out.all = append(out.all, sched.Unmet{Ask: l.ask, Count: u.Count})
 		n := 0
 		u.Ask.ZoneOK = func(site string) bool { return n >= len(left) || l.z.ok(left[n].chunk, site) }
 		u.Placed = func(site string) {
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -98,8 +98,8 @@
 		wanted[a] = true
 		l := listed[a]
 		_, released := s.Releases[id]
-		if l != nil && l.Phase == api.Running && s.Started[id] != pl.p.Try {
-			s.Started[id] = pl.p.Try
+		if l != nil && l.Phase == api.Running && s.Started[id].Try != pl.p.Try {
+			s.Started[id] = part.Start{Try: pl.p.Try, At: now}
 			c.log.Info("task running", "task", name, "try", pl.p.Try, "host", host)
 		}
 		stop := j.main.Gone || pl.p.Stop || s.Drain || c.recalled(s, &j.main.Run)
@@ -109,6 +109,9 @@
 				done := l.Cause == api.CauseDone
 				failed := l.Cause == api.CauseError || l.Cause == api.CauseUnknown
 				s.Releases[id] = part.Release{Try: pl.p.Try, Done: done, Failed: failed}
+				if st := s.Started[id]; done && st.Try == pl.p.Try && j.main.Run.GuessS > 0 {
+					c.observe(j.main.Run.Lane, now.Sub(st.At).Seconds()/j.main.Run.GuessS)
+				}
 				c.ended(host, s, j, pl, l)
 			}
 		case l != nil && (stop || released):
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -63,6 +63,12 @@
 	Done, Failed bool
 }
 
+// Start is when an attempt was first seen running.
+type Start struct {
+	Try uint64
+	At  time.Time
+}
+
 // Session is what the owner knows of one worker under its present term.
 type Session struct {
 	Term     uint64
@@ -73,21 +79,21 @@
 	Gone     bool         // the cloud has confirmed its end
 	Dark     bool         // its lease is surely over
 	Releases map[string]Release
-	Started  map[string]uint64 // attempts that were seen running
-	Errors   map[string]bool   // jobs whose tasks failed there since one last succeeded
-	Idle     time.Time         // since when it has no task; zero: it has some
-	Loose    time.Time         // since when its few replicas would fit elsewhere; zero: they don't
-	Drain    bool              // it takes no more tasks: it is to be returned
-	Asked    time.Time         // when a fence was last sent
-	Listed   bool              // the cloud has listed it
-	Missing  int               // lists in a row that lacked it since
-	Avoid    time.Time         // it refused a task for want of room: none is put there until then
+	Started  map[string]Start // attempts that were seen running
+	Errors   map[string]bool  // jobs whose tasks failed there since one last succeeded
+	Idle     time.Time        // since when it has no task; zero: it has some
+	Loose    time.Time        // since when its few replicas would fit elsewhere; zero: they don't
+	Drain    bool             // it takes no more tasks: it is to be returned
+	Asked    time.Time        // when a fence was last sent
+	Listed   bool             // the cloud has listed it
+	Missing  int              // lists in a row that lacked it since
+	Avoid    time.Time        // it refused a task for want of room: none is put there until then
 }
 
 // NewSession starts a worker's session under a term. answered is the latest
 // time at which an earlier owner can have answered it.
 func NewSession(term uint64, answered time.Time) *Session {
-	return &Session{Term: term, Answered: answered, Releases: map[string]Release{}, Errors: map[string]bool{}, Started: map[string]uint64{}}
+	return &Session{Term: term, Answered: answered, Releases: map[string]Release{}, Errors: map[string]bool{}, Started: map[string]Start{}}
 }
 
 // Accept takes a report if it can be believed: made after the worker saw this
