--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,121 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+const good = `
+host_name = "n0"
+site = "x"
+serve_on = "127.0.0.1:1"
+cluster_listen = "127.0.0.1:2"
+something_new = 3
+[[members]]
+host_name = "n1"
+site = "y"
+addr = "127.0.0.2:2"
+[external]
+cloud = "127.0.0.3:1"
+state = "127.0.0.3:2"
+[facts]
+size = 2
+zones = ["x", "y"]
+[[facts.teams]]
+name = "a"
+gpus = 2.0
+gpus_max = 4.0
+[facts.workers]
+report_s = 1.5
+lease_s = 10.0
+cancel_s = 40.0
+[facts.state]
+rps = 120.0
+write_rps = 25.0
+value_kb = 4.0
+txn_ops = 8
+[facts.cloud]
+rps = 8.0
+list_lag_s = 3.0
+[facts.machine_limits]
+cores = 0.1
+memory_mb = 98.0
+max_sockets = 900
+`
+
+func TestSettings(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if team, ok := s.Team("a"); !ok || !team.Limited() {
+		t.Error("team a")
+	}
+	for field, change := range map[string][2]string{
+		"host_name":                        {`host_name = "n0"`, ``},
+		"serve_on":                         {`serve_on = "127.0.0.1:1"`, `serve_on = "nowhere"`},
+		"members[0].host_name":             {`host_name = "n1"`, `host_name = "n0"`},
+		"facts.size":                       {`size = 2`, `size = 3`},
+		"facts.zones":                      {`zones = ["x", "y"]`, ``},
+		"facts.workers.lease_s":            {`lease_s = 10.0`, `lease_s = 1.0`},
+		"facts.state.rps":                  {"rps = 120.0", "rps = -1.0"},
+		"facts.state.txn_ops":              {"txn_ops = 8", "txn_ops = 2"},
+		"facts.state.value_kb":             {"value_kb = 4.0", "value_kb = nan"},
+		"facts.machine_limits.max_sockets": {"max_sockets = 900", ""},
+		"facts.teams[0]":                   {"gpus = 2.0", "gpus = inf"},
+		"not valid":                        {"size = 2", "size = "},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, change[0], change[1], 1)))
+		if err == nil || !strings.HasPrefix(err.Error(), field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+}
+
+// What an owner may do without the state service ends in time for a
+// cancellation that it can't see, whatever the settings.
+func TestGraceLeavesCancellationsTime(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, w := range [][3]float64{{1.5, 10, 40}, {3, 45, 75}, {1, 30, 31}, {0.5, 2, 100}} {
+		f := &s.Facts.Workers
+		f.ReportS, f.LeaseS, f.CancelS = w[0], w[1], w[2]
+		if s.HoldTTL() > s.Lease()/3+500e6 {
+			t.Errorf("%v: hold of %v", w, s.HoldTTL())
+		}
+		if g := s.Grace(); g > 0 && s.HoldTTL()+g+s.LeaseBound() > secs(f.CancelS) {
+			t.Errorf("%v: grace of %v", w, g)
+		}
+	}
+}
+
+func TestPolicy(t *testing.T) {
+	p, err := ParsePolicy([]byte(`
+weight = "job.lane == 'x' ? 10 : -job.rank"
+idle_s = "loaners ? 5 : startup * 2"
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.Weight(Work{Lane: "x"}) != 10 || p.Weight(Work{Rank: 2}) != -2 || p.Idle(40, 3, false) != 80 || p.Idle(40, 3, true) != 5 {
+		t.Error("expressions give other values")
+	}
+	if !p.Preempt(Work{}, Work{Rank: 3}, 100) || p.Headroom(Work{Rank: 3}, 4, 40, 10) != 0 || p.Headroom(Work{Rank: 1}, 4, 40, 10) != 10 {
+		t.Error("what is left out is not as built in")
+	}
+	for name, src := range map[string]string{
+		"weight":   `weight = "job.colour"`,
+		"preempt":  `preempt = "lost"`,
+		"headroom": `headroom = "deviation +"`,
+		"idle_s":   `idle_s = "'long'"`,
+	} {
+		if _, err := ParsePolicy([]byte(src)); err == nil || !strings.HasPrefix(err.Error(), name) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", src, err)
+		}
+	}
+	if p, err = ParsePolicy([]byte(`weight = "job.age / job.gpus"`)); err == nil && p.Weight(Work{Age: 1}) != 0 {
+		t.Error("a weight that is not finite must count as none")
+	}
+}
--- /dev/null
+++ b/internal/controller/found_test.go
@@ -0,0 +1,331 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"violetturn/internal/api"
+	"violetturn/internal/standin"
+)
+
+// job adds a job to the world and submits it to the first controller.
+func (s *sim) job(change func(*api.Run, *time.Duration)) string {
+	id := fmt.Sprintf("run-%06d", len(s.uids))
+	r := &api.Run{UID: id, Lane: "l", Owner: "b", Shape: api.Sweep, Rank: "standard", Pieces: 2, CPUs: 1, GPUs: 1, MemGB: 4, Bundle: "img", SizeGB: 1}
+	d := 5 * time.Second
+	if change != nil {
+		change(r, &d)
+	}
+	s.w.Jobs[id] = &standin.Job{Run: *r, RunTime: d, Done: map[int]bool{}}
+	s.uids = append(s.uids, id)
+	s.submit(0, id)
+	return id
+}
+
+// warmSim is a world whose controllers are up.
+func warmSim() *sim {
+	s := newSim()
+	for range 10 {
+		s.round()
+	}
+	return s
+}
+
+// rounds runs until ok, or fails after so many rounds.
+func (s *sim) rounds(t *testing.T, most int, what string, ok func() bool) {
+	t.Helper()
+	for range most {
+		if ok() {
+			return
+		}
+		s.round()
+		if len(s.w.Broken) > 0 {
+			t.Fatalf("%v", s.w.Broken)
+		}
+	}
+	t.Fatalf("%s: not after %d rounds", what, most)
+}
+
+func (s *sim) done(id string) func() bool {
+	return func() bool {
+		s.poll(1, id)
+		return s.w.Jobs[id].Phase == api.Done
+	}
+}
+
+func (s *sim) running(id string) int {
+	n := 0
+	for _, x := range s.w.Cloud.Hosts {
+		for _, p := range x.Report().Pieces {
+			if uid, _, _ := api.SplitPiece(p.Piece); uid == id && p.Phase == api.Running {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (s *sim) owner(part string) string {
+	for _, n := range s.nodes {
+		if n.up && n.c.owned(part) != nil && n.c.canAct(n.c.now()) {
+			return n.name
+		}
+	}
+	return ""
+}
+
+func TestQuietDay(t *testing.T) {
+	s := newSim()
+	s.rounds(t, 20, "parts owned at home", func() bool {
+		return s.owner("n0") == "n0" && s.owner("n1") == "n1" && s.owner("n2") == "n2"
+	})
+	a := s.job(nil)
+	b := s.job(func(r *api.Run, _ *time.Duration) { r.Shape, r.Pieces, r.Scatter = api.Daemon, 4, true })
+	s.rounds(t, 60, "array done", s.done(a))
+	s.rounds(t, 60, "replicas run", func() bool { return s.running(b) == 4 })
+	s.cancel(2, b)
+	s.rounds(t, 20, "replicas gone", func() bool { return s.running(b) == 0 })
+	s.rounds(t, 200, "machines returned", func() bool { return len(s.w.Cloud.Hosts) == 0 })
+}
+
+// Two chunks of one job that ended in the same round once stopped all releases
+// of their part: the second did not fit the transaction and took the first along.
+func TestTwoChunksEndTogether(t *testing.T) {
+	s := warmSim()
+	id := s.job(func(r *api.Run, d *time.Duration) {
+		r.Owner, r.Pieces, r.GPUs, r.CPUs, r.MemGB = "b", 50, 0, 0.1, 0.1
+	})
+	s.rounds(t, 120, "array of three chunks done", s.done(id))
+}
+
+// A machine that was fenced before its first report was answered once counted
+// as silent since long before it was rented, and went back at once.
+func TestNewMachineIsKept(t *testing.T) {
+	s := newSim()
+	for range 60 { // terms grow old
+		s.round()
+	}
+	id := s.job(nil)
+	s.rounds(t, 20, "machine rented", func() bool { return len(s.w.Cloud.Hosts) > 0 })
+	first := s.w.Cloud.Names()[0]
+	for range 30 { // the controllers hear of it only by their own fences
+		for i := range s.nodes {
+			s.step(i)
+		}
+		s.w.Advance(500 * time.Millisecond)
+		if s.w.Cloud.Hosts[first] == nil {
+			t.Fatal("the machine went back")
+		}
+	}
+	s.rounds(t, 60, "array done", s.done(id))
+}
+
+// A part taken by a transaction whose answer was lost once was nobody's: the
+// key was ours and kept alive, but the part was not among those we own.
+func TestPartTakenWithoutAnswer(t *testing.T) {
+	s := newSim()
+	for i, n := range s.nodes { // the first transaction registers, the next takes the part
+		s.step(i)
+		s.w.Store.Next[n.name] = standin.LoseAfter
+	}
+	s.rounds(t, 40, "parts owned", func() bool {
+		return s.owner("n0") != "" && s.owner("n1") != "" && s.owner("n2") != ""
+	})
+}
+
+// An owner that restarts quickly must not forget that the owner before it may
+// still be answering workers: the doubt stays in the part's record.
+func TestDoubtOutlivesRestart(t *testing.T) {
+	s := newSim()
+	for range 20 {
+		s.round()
+	}
+	s.w.Store.Refuse["n1"] = true // n1 lives on, cut from the state service
+	s.rounds(t, 40, "part of n1 taken", func() bool { o := s.owner("n1"); return o != "" && o != "n1" })
+	taker := int(s.owner("n1")[1] - '0')
+	s.start(taker)
+	s.rounds(t, 10, "taken again", func() bool { return s.owner("n1") == s.nodes[taker].name })
+	c := s.nodes[taker].c
+	if got := c.mine["n1"].answered.Sub(c.now()); got <= c.cfg.Grace()/2 {
+		t.Fatalf("bounds earlier answers by %v from now, n1 may go on for %v", got, c.cfg.Grace())
+	}
+}
+
+// A service survives the end of all controllers within the workers' lease, and
+// an outage of the state service that is longer than the lease.
+func TestReplicasOutliveControllersAndOutage(t *testing.T) {
+	s := warmSim()
+	id := s.job(func(r *api.Run, _ *time.Duration) { r.Shape, r.Pieces = api.Daemon, 2 })
+	s.rounds(t, 60, "replicas run", func() bool { return s.running(id) == 2 })
+	for _, n := range s.nodes {
+		n.up = false
+	}
+	for range 6 {
+		s.round()
+	}
+	for i := range s.nodes {
+		s.start(i)
+	}
+	check := func(rounds int) {
+		for range rounds {
+			s.round()
+			if s.running(id) != 2 {
+				t.Fatal("a replica was lost")
+			}
+		}
+	}
+	check(60)
+	s.w.Store.Down = true
+	check(26) // 13 s, the lease is 9 s
+	s.w.Store.Down = false
+	check(60)
+}
+
+// Work of a higher rank takes the room of lower ones, and of no more of them
+// than it needs.
+func TestProductionWinsItsRoomBack(t *testing.T) {
+	s := warmSim()
+	low := s.job(func(r *api.Run, d *time.Duration) {
+		r.Owner, r.Rank, r.Pieces = "b", "idle", 4
+		*d = time.Hour
+	})
+	s.rounds(t, 80, "idle work runs", func() bool { return s.running(low) == 4 })
+	s.w.Cloud.Full = true
+	high := s.job(func(r *api.Run, _ *time.Duration) { r.Shape, r.Rank, r.Pieces = api.Daemon, "production", 1 })
+	s.rounds(t, 20, "production runs", func() bool { return s.running(high) == 1 })
+	if n := s.running(low); n != 3 {
+		t.Fatalf("%d idle tasks left of 4", n)
+	}
+}
+
+// The checkers catch a controller that breaks the rules: one that believes a
+// shorter lease, or a higher limit, than the world has. Unchanged, the same day
+// breaks nothing.
+func TestCheckersCatch(t *testing.T) {
+	cut := func(s *sim) { // one machine is cut off while its tasks run on, another has room
+		s.job(func(r *api.Run, _ *time.Duration) { r.Shape, r.Pieces = api.Daemon, 3 })
+		for range 60 {
+			s.round()
+		}
+		for _, h := range s.w.Cloud.Names() {
+			if x := s.w.Cloud.Hosts[h]; len(x.Tasks) == 2 {
+				x.Cut = true
+			}
+		}
+		for range 60 {
+			s.round()
+		}
+	}
+	crowd := func(s *sim) {
+		s.job(func(r *api.Run, d *time.Duration) {
+			r.Owner, r.Pieces = "a", 12
+			*d = time.Minute
+		})
+		for range 80 {
+			s.round()
+		}
+	}
+	for _, x := range []struct {
+		rule   string
+		mutate func(c *Controller)
+		day    func(*sim)
+	}{
+		{"ran_twice", func(c *Controller) { c.cfg.Facts.Workers.LeaseS = 1.5 }, cut},
+		{"quota", func(c *Controller) { c.cfg.Facts.Teams[0].GPUsMax = 9 }, crowd},
+	} {
+		for _, mutated := range []bool{false, true} {
+			s := warmSim()
+			if mutated {
+				for _, n := range s.nodes {
+					x.mutate(n.c)
+				}
+			}
+			x.day(s)
+			caught := false
+			for _, b := range s.w.Broken {
+				caught = caught || strings.HasPrefix(b, x.rule)
+			}
+			if caught != mutated {
+				t.Errorf("%s, mutated %t: %v", x.rule, mutated, s.w.Broken)
+			}
+		}
+	}
+}
+
+// What users get wrong is told them, and a known job is answered with its state
+// before its repetition is judged.
+func TestSubmissions(t *testing.T) {
+	s := newSim()
+	c := s.nodes[0].c
+	ctx := context.Background()
+	body := func(change func(m *api.Run)) []byte {
+		r := &api.Run{UID: "run-000100", Lane: "l", Owner: "b", Shape: api.Sweep, Rank: "idle", Pieces: 1, CPUs: 1, GPUs: 1, MemGB: 1, Bundle: "i"}
+		change(r)
+		return submission(r)
+	}
+	if r := c.submit(ctx, body(func(*api.Run) {})); r.Status != 503 || r.RetryAfter == 0 {
+		t.Errorf("before the machine types are known: %d", r.Status)
+	}
+	for range 10 {
+		s.round()
+	}
+	for _, x := range []struct {
+		what   string
+		status int
+		change func(*api.Run)
+	}{
+		{"unknown team", 422, func(r *api.Run) { r.Owner = "z" }},
+		{"too large", 422, func(r *api.Run) { r.GPUs = 3 }},
+		{"service over the limit", 422, func(r *api.Run) { r.Owner, r.Shape, r.Pieces = "a", api.Daemon, 6 }},
+		{"unknown zone", 422, func(r *api.Run) { r.Site = "z" }},
+		{"scattered in one zone", 422, func(r *api.Run) { r.Site, r.Scatter, r.Pieces = "x", true, 2 }},
+		{"bad shape", 400, func(r *api.Run) { r.Shape = "ensemble" }},
+		{"longer than a record", 400, func(r *api.Run) { r.Bundle = strings.Repeat("x", 4000) }},
+		{"array over the limit", 201, func(r *api.Run) { r.Owner, r.Pieces = "a", 50 }},
+		{"again, now malformed", 200, func(r *api.Run) { r.Shape = "ensemble" }},
+		{"again, now impossible", 200, func(r *api.Run) { r.Owner = "z" }},
+	} {
+		if r := c.submit(ctx, body(x.change)); r.Status != x.status {
+			t.Errorf("%s: %d %s", x.what, r.Status, r.Body)
+		}
+	}
+	if r := s.nodes[1].c.query(ctx, "run-000999"); r.Status != 404 {
+		t.Errorf("unknown job: %d", r.Status)
+	}
+	s.w.Store.Down = true
+	if r := s.nodes[1].c.query(ctx, "run-000999"); r.Status != 503 {
+		t.Errorf("unknown job in an outage: %d, which only the store can tell", r.Status)
+	}
+}
+
+// A worker learns whom to report to, and a node that may not answer never holds
+// it with a 200.
+func TestOtherNodesSendWorkersOn(t *testing.T) {
+	s := warmSim()
+	s.job(nil)
+	s.rounds(t, 40, "machine known", func() bool { return len(s.nodes[0].c.m.hosts) > 0 && len(s.w.Cloud.Hosts) > 0 })
+	for h, m := range s.nodes[0].c.m.hosts {
+		x := s.w.Cloud.Hosts[h]
+		for i, n := range s.nodes {
+			status, _, steward := s.deliver(i, api.JSON(x.Report()))
+			switch own := n.name == m.v.Part; {
+			case own && status != 200, !own && (status != 421 || steward != m.v.Part):
+				t.Errorf("%s of part %s at %s: %d %q", h, m.v.Part, n.name, status, steward)
+			}
+		}
+	}
+	for range 100 { // a node refused by the state service alone
+		s.w.Store.Refuse["n0"] = true
+		s.round()
+	}
+	for h := range s.nodes[1].c.m.hosts {
+		if x := s.w.Cloud.Hosts[h]; x != nil {
+			if status, _, _ := s.deliver(0, api.JSON(x.Report())); status == 200 {
+				t.Error("answers 200 long after its hold has ended")
+			}
+		}
+	}
+}
--- a/internal/controller/slots.go
+++ b/internal/controller/slots.go
@@ -96,7 +96,7 @@
 		i := slices.IndexFunc(free, func(s slot) bool {
 			return s.room.Fits(l.ask.Need) && l.ask.Allows(s.host.Build, s.host.Site, s.host.Loaners)
 		})
-		if i < 0 || free[i].at+run > left {
+		if i < 0 || free[i].at+1.3*run > left {
 			break
 		}
 		free[i].at += run
@@ -119,5 +119,5 @@
 		startup = max(startup, f.StartupS)
 	}
 	left := within - float64(now.UnixMilli()-l.q.j.main.AtMS)/1000 - startup - c.pull(r)
-	return max(1, left/(c.runs(r)+2*c.cfg.Report().Seconds()))
+	return max(1, left/(1.3*c.runs(r)+2*c.cfg.Report().Seconds()))
 }
--- /dev/null
+++ b/internal/job/job_test.go
@@ -0,0 +1,126 @@
+package job
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"violetturn/internal/api"
+)
+
+// A chunk's record stays within a value of the state service even with every
+// task placed and the numbers large, and reads back the same.
+func TestChunkRecordFits(t *testing.T) {
+	for _, kb := range []float64{1, 4, 16, 64} {
+		c := (*Chunk)(nil).Copy()
+		c.Tries = 1 << 30
+		n := ChunkSize(kb)
+		if n%2 != 0 {
+			t.Errorf("%g KiB: odd chunks of %d can't be scattered by halves", kb, n)
+		}
+		for i := range n {
+			c.Put(i, fmt.Sprintf("i-%012d", i), 1<<20)
+			c.Places[i].Stop = true
+		}
+		raw := api.JSON(c)
+		if len(raw) > int(kb*1024) {
+			t.Errorf("%g KiB: record of %d tasks has %d bytes", kb, n, len(raw))
+		}
+		d, err := ParseChunk(raw)
+		if err != nil || cmp.Diff(c, d) != "" {
+			t.Errorf("reads back as %v, %v", d, err)
+		}
+	}
+}
+
+// The chunk against a plain model of its tasks.
+func TestChunkModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := (*Chunk)(nil).Copy()
+		done := map[int]bool{}
+		on := map[int]uint64{}
+		last := uint64(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				i := rapid.IntRange(0, 40).Draw(t, "task")
+				if done[i] || on[i] != 0 {
+					t.Skip()
+				}
+				on[i] = c.Put(i, "h", 0)
+				if on[i] <= last {
+					t.Fatal("attempt numbers must rise")
+				}
+				last = on[i]
+			},
+			"end": func(t *rapid.T) {
+				i := rapid.IntRange(0, 40).Draw(t, "task")
+				try := rapid.Uint64Range(1, 50).Draw(t, "try")
+				ok := rapid.Bool().Draw(t, "done")
+				was := on[i] != 0 && on[i] == try
+				if c.End(i, try, ok, !ok) != was {
+					t.Fatal("an end of another attempt counts, or this one's does not")
+				}
+				if was {
+					delete(on, i)
+					done[i] = ok
+				}
+			},
+			"reread": func(t *rapid.T) {
+				d, err := ParseChunk(api.JSON(c))
+				if err != nil {
+					t.Fatal(err)
+				}
+				c = d.Copy()
+			},
+			"": func(t *rapid.T) {
+				n := 0
+				for i := range 41 {
+					if c.Done(i) != done[i] {
+						t.Fatalf("task %d done: %t", i, done[i])
+					}
+					if done[i] {
+						n++
+					}
+				}
+				if n != c.DoneCount() || len(on) != len(c.Places) {
+					t.Fatal("counts")
+				}
+			},
+		})
+	})
+}
+
+// Finished chunks are counted right in whatever order they finish, and the
+// record of a job of 100,000 tasks stays small.
+func TestMainFinish(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &Main{Run: api.Run{Pieces: rapid.IntRange(1, 300).Draw(t, "pieces")}, Chunk: rapid.IntRange(1, 40).Draw(t, "chunk")}
+		order := rapid.Permutation(seq(m.Chunks())).Draw(t, "order")
+		tasks := 0
+		for k, n := range order {
+			if m.Complete() || m.Finished(n) {
+				t.Fatal("too early")
+			}
+			m.Finish(n)
+			tasks += m.ChunkLen(n)
+			if !m.Finished(n) || m.FinishedTasks() != tasks || m.Complete() != (k == len(order)-1) {
+				t.Fatalf("%v after %v", m.Fin, order[:k+1])
+			}
+			raw, _ := json.Marshal(m)
+			if m, _ = ParseMain(raw); m == nil {
+				t.Fatal("does not read back")
+			}
+		}
+	})
+}
+
+func seq(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
--- /dev/null
+++ b/internal/sched/sched_test.go
@@ -0,0 +1,182 @@
+package sched
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func room(t *rapid.T, name string, most int) Room {
+	n := func(s string) float64 { return float64(rapid.IntRange(0, most).Draw(t, name+s)) / 2 }
+	return Room{n("cpus"), n("gpus"), n("mem")}
+}
+
+func someHosts(t *rapid.T) []*Host {
+	var out []*Host
+	for i := range rapid.IntRange(0, 6).Draw(t, "hosts") {
+		c := Room{8, 4, 8}
+		out = append(out, &Host{Name: fmt.Sprint("h", i), Build: "m", Site: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "site"),
+			Loaners: rapid.Bool().Draw(t, "spot"), Cap: c, Free: c.Sub(room(t, "used", 8)), Daemons: rapid.IntRange(0, 1).Draw(t, "daemons")})
+	}
+	return out
+}
+
+// The fullest fit is a machine that fits and is allowed, and no other such
+// machine is left fuller.
+func TestFullestFit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := someHosts(t)
+		a := &Ask{Need: room(t, "need", 6), Loaners: rapid.Bool().Draw(t, "loaners"), Site: rapid.SampledFrom([]string{"", "x"}).Draw(t, "asked")}
+		got := FullestFit(hosts, a)
+		for _, h := range hosts {
+			fits := h.Free.Fits(a.Need) && (a.Loaners || !h.Loaners) && (a.Site == "" || a.Site == h.Site)
+			if got == h && !fits {
+				t.Fatalf("%+v does not fit", *h)
+			}
+			if fits && (got == nil || left(h, a.Need) < left(got, a.Need)-eps) {
+				t.Fatalf("%+v is fuller", *h)
+			}
+		}
+	})
+}
+
+// Own part first; room anywhere is found.
+func TestChooseOwnPartFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parts := map[string][]*Host{"own": someHosts(t), "p": someHosts(t), "q": someHosts(t)}
+		a := &Ask{Need: room(t, "need", 6), Loaners: true}
+		seed := rapid.Uint64().Draw(t, "seed")
+		got := Choose(parts, "own", a, rand.New(rand.NewPCG(seed, 1)))
+		own := FullestFit(parts["own"], a)
+		if own != nil && got != own {
+			t.Fatal("not the own part's")
+		}
+		if got == nil && (FullestFit(parts["p"], a) != nil || FullestFit(parts["q"], a) != nil) {
+			t.Fatal("room of a peer not found")
+		}
+	})
+}
+
+// Nobody is stopped for room that is not enough, and nobody needlessly.
+func TestPreempt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		free, need := room(t, "free", 4), room(t, "need", 8)
+		var v []Victim
+		all := free
+		for i := range rapid.IntRange(0, 5).Draw(t, "victims") {
+			v = append(v, Victim{fmt.Sprint(i), room(t, "room", 6), float64(rapid.IntRange(0, 9).Draw(t, "cost"))})
+			all = all.Add(v[i].Room)
+		}
+		take, _ := Preempt(free, need, slices.Clone(v))
+		if free.Fits(need) && len(take) > 0 {
+			t.Fatal("stopped for room that was free")
+		}
+		got := free
+		for _, x := range take {
+			got = got.Add(x.Room)
+		}
+		if len(take) > 0 && !got.Fits(need) {
+			t.Fatal("stopped for nothing")
+		}
+		if !free.Fits(need) && all.Fits(need) && len(take) == 0 {
+			t.Fatal("room that could be made was not")
+		}
+		for _, x := range take {
+			if got.Sub(x.Room).Fits(need) {
+				t.Fatal("stopped needlessly")
+			}
+		}
+	})
+}
+
+// What is rented, with what is coming, holds all unmet tasks that an offer fits,
+// and no machine is rented that stays empty.
+func TestPlan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := Room{4, 2, 8}
+		offers := []Offer{{"m", "x", false, c, 3}, {"m", "x", true, c, 1}, {"m", "y", false, c, 3}}
+		u := []Unmet{{Ask: Ask{Need: Room{1, 1, 1}, Loaners: rapid.Bool().Draw(t, "loaners")}, Count: rapid.IntRange(0, 9).Draw(t, "count")}}
+		coming := []*Host{}
+		for range rapid.IntRange(0, 2).Draw(t, "coming") {
+			coming = append(coming, &Host{Name: "c", Build: "m", Site: "x", Cap: c, Free: c})
+		}
+		slots := 2 * len(coming)
+		n := 0
+		for _, o := range Plan(u, coming, offers, "y", 100) {
+			n += o.Count
+			if o.Offer.Loaners != u[0].Ask.Loaners || !o.Offer.Loaners && o.Offer.Site != "y" {
+				t.Fatalf("not the cheapest, or not at home: %+v", o)
+			}
+		}
+		want := max(0, u[0].Count-slots)
+		if n != (want+1)/2 {
+			t.Fatalf("%d machines for %d tasks", n, want)
+		}
+		if got := Plan(u, nil, nil, "y", 100); got != nil {
+			t.Fatalf("rented without offers: %v", got)
+		}
+	})
+}
+
+// The gang of the paper's Algorithm 2: it holds no more than it needs, is
+// complete only with all its room, sleeps after a miss, and releases all claims
+// after more misses in a row than the retry count.
+func TestGang(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		g := NewGang(rapid.IntRange(1, 8).Draw(t, "need"))
+		parts := []string{"p", "q"}
+		misses, held := 0, 0
+		var until time.Time
+		t.Repeat(map[string]func(*rapid.T){
+			"probe": func(t *rapid.T) {
+				p, most, ok := g.Probe(now, parts, rnd)
+				if ok != (held < g.Need && !now.Before(until)) {
+					t.Fatalf("probes: %t", ok)
+				}
+				if !ok {
+					return
+				}
+				if n := rapid.IntRange(0, most).Draw(t, "free"); n > 0 {
+					g.Claimed(p, n)
+					held += n
+					misses = 0
+					return
+				}
+				misses++
+				until = now.Add(StartSleep)
+				rel := g.Missed(now)
+				if (rel != nil) != (misses > StartRetry) {
+					t.Fatalf("releases %v after %d misses", rel, misses)
+				}
+				if rel != nil {
+					sum := 0
+					for _, n := range rel {
+						sum += n
+					}
+					if sum != held || !g.Released {
+						t.Fatalf("releases %d of %d", sum, held)
+					}
+					held, misses = 0, 0
+				}
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 15).Draw(t, "tenths")) * 100 * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				if g.Complete() != (held >= g.Need) || held > g.Need {
+					t.Fatal("complete")
+				}
+			},
+		})
+		o := NewGang(1)
+		if g.Released && !Before(g, o, now.Add(time.Hour), now) || !g.Released && Before(g, o, now.Add(time.Hour), now) {
+			t.Fatal("released ones go first, then the older")
+		}
+	})
+}
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,135 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"violetturn/internal/httpwire"
+)
+
+func start(t *testing.T, h Handler) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(h, httpwire.RequestLimits, 10)
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(addr) }()
+	select {
+	case <-s.booted:
+	case err := <-ended:
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := s.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+	return addr
+}
+
+// Requests that are answered at once and later, kept connections, refused ones.
+func TestServerAndClient(t *testing.T) {
+	addr := start(t, func(req *httpwire.Message, later func(Response)) (Response, bool) {
+		r := Response{Status: 200, Body: append([]byte(req.Method+" "+req.Target+" "), req.Body...)}
+		if req.Target == "/later" {
+			go later(r)
+			return Response{}, false
+		}
+		return r, true
+	})
+	c, err := NewClient()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if err := c.Close(); err != nil {
+			t.Error(err)
+		}
+	}()
+	ctx := context.Background()
+	for range 5 {
+		for _, target := range []string{"/now", "/later"} {
+			m, err := c.Do(ctx, addr, "POST", target, []byte("abc"), time.Minute)
+			if err != nil || m.Status != 200 || string(m.Body) != "POST "+target+" abc" {
+				t.Fatalf("%s: %+v %v", target, m, err)
+			}
+		}
+	}
+	if len(c.idle[addr]) != 1 {
+		t.Errorf("%d kept connections after requests in turn", len(c.idle[addr]))
+	}
+	m, err := c.Do(ctx, addr, "POST", "/now", make([]byte, 65<<10), time.Minute)
+	if err != nil || m.Status != 413 || !m.Close {
+		t.Errorf("large body: %+v %v", m, err)
+	}
+	m, err = c.Do(ctx, addr, "BAD METHOD", "/now", nil, time.Minute)
+	if err != nil || m.Status != 400 {
+		t.Errorf("malformed: %+v %v", m, err)
+	}
+}
+
+// A server that closes without an answer leaves open what it did.
+func TestNoResponse(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			b := make([]byte, 10)
+			_, _ = c.Read(b)
+			_ = c.Close()
+		}
+	}()
+	c, err := NewClient()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := c.Do(context.Background(), l.Addr().String(), "GET", "/", nil, time.Minute); !errors.Is(err, ErrNoResponse) {
+		t.Error(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := c.Do(ctx, l.Addr().String(), "GET", "/", nil, time.Minute); err == nil || errors.Is(err, ErrNoResponse) {
+		t.Errorf("a request never sent counts as unanswered: %v", err)
+	}
+}
+
+func TestBudgetKeepsReserve(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := NewBudget(10, 10)
+	for range 7 {
+		if _, ok := b.Take(now, 1, 0.3); !ok {
+			t.Fatal("refused within the budget")
+		}
+	}
+	wait, ok := b.Take(now, 1, 0.3)
+	if ok {
+		t.Fatal("the reserve is touched")
+	}
+	if _, ok := b.Take(now, 3, 0); !ok {
+		t.Fatal("the reserve can't be used")
+	}
+	now = now.Add(wait + 300*time.Millisecond)
+	if _, ok := b.Take(now, 1, 0.3); !ok || wait <= 0 {
+		t.Fatalf("refused after the wait it was told, %v", wait)
+	}
+	if b.Used() != 11 {
+		t.Fatal(b.Used())
+	}
+}
