--- a/internal/controller/found_test.go
+++ b/internal/controller/found_test.go
@@ -233,7 +233,7 @@
 		mutate func(c *Controller)
 		day    func(*sim)
 	}{
-		{"ran_twice", func(c *Controller) { c.cfg.Facts.Workers.LeaseS = 1.5 }, cut},
+		{"ran_twice", func(c *Controller) { c.cfg.Facts.Workers.LeaseS = 4 }, cut},
 		{"quota", func(c *Controller) { c.cfg.Facts.Teams[0].GPUsMax = 9 }, crowd},
 	} {
 		for _, mutated := range []bool{false, true} {
