--- a/internal/controller/found_test.go
+++ b/internal/controller/found_test.go
@@ -329,3 +329,25 @@
 		}
 	}
 }
+
+// A machine that was returned is not recorded again when a report that a cut
+// held back arrives, or because the list still shows it.
+func TestReturnedMachineStaysGone(t *testing.T) {
+	s := warmSim()
+	id := s.job(nil)
+	s.rounds(t, 60, "array done", s.done(id))
+	host := s.w.Cloud.Names()[0]
+	late := api.JSON(s.w.Cloud.Hosts[host].Report())
+	s.rounds(t, 60, "machine returned and forgotten", func() bool { return s.w.Cloud.Hosts[host] == nil && s.nodes[0].c.m.hosts[host].v == nil })
+	for range 20 {
+		for i := range s.nodes {
+			s.deliver(i, late)
+		}
+		s.round()
+		for _, n := range s.nodes {
+			if n.c.m.hosts[host].v != nil {
+				t.Fatal("recorded again")
+			}
+		}
+	}
+}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -59,8 +59,13 @@
 }
 
 // stranger notes a machine that has no record, to be recorded in a part of its
-// zone. Call with the lock held.
+// zone. One whose record was dropped is gone, and names are never used again:
+// what a cut held back, or a list that lags, must not bring it back as a ghost
+// that counts as coming room. Call with the lock held.
 func (c *Controller) stranger(host string, m part.Machine) {
+	if c.m.gone[host] {
+		return
+	}
 	if _, ok := c.adopt[host]; ok || len(c.adopt) >= 256 {
 		return
 	}
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -60,6 +60,7 @@
 	term   uint64
 	onHost map[string]map[string]*placed // host -> task -> place
 	images map[string]map[string]bool    // host -> images that tasks were put there with
+	gone   map[string]bool               // machines that were forgotten: they are gone for good
 	onJob  func(*job.Main)               // hears of each job that appears
 }
 
@@ -75,7 +76,7 @@
 	return &mirror{log: log, onJob: onJob, stamps: map[string]uint64{}, tombs: map[string]uint64{}, jobs: map[string]*liveJob{},
 		orphan: map[string]map[int]value[job.Chunk]{}, parts: map[string]value[part.Record]{}, owns: map[string]value[part.Own]{},
 		nodes: map[string]value[part.Own]{}, hosts: map[string]value[part.Machine]{}, teams: map[string]value[part.Usage]{},
-		onHost: map[string]map[string]*placed{}, images: map[string]map[string]bool{}}
+		onHost: map[string]map[string]*placed{}, images: map[string]map[string]bool{}, gone: map[string]bool{}}
 }
 
 // apply takes in one change; raw is nil for a drop. Changes reach the mirror
@@ -119,6 +120,11 @@
 		err = set(m.hosts, id, raw, stamp)
 		if raw == nil {
 			delete(m.images, id)
+			const most = 4096 // names of some ten bytes
+			if len(m.gone) >= most {
+				clear(m.gone)
+			}
+			m.gone[id] = true
 		}
 	case teamKey:
 		err = set(m.teams, id, raw, stamp)
