--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -90,8 +90,6 @@
 		switch {
 		case best == nil:
 			return true
-		case a.Daemon && h.Warm[a.Bundle] != best.Warm[a.Bundle]:
-			return h.Warm[a.Bundle]
 		case l < bestLeft-eps:
 			return true
 		case l > bestLeft+eps:
