--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -66,6 +66,7 @@
 	parts   []string // all parts, by name of their home controller
 
 	wake    chan struct{} // the decider has something to do
+	orphans chan struct{} // a part has no owner
 	fencing chan struct{} // bounds fences under way
 	users   chan struct{} // bounds user requests under way
 
@@ -145,7 +146,7 @@
 // newController makes a controller without its outside systems.
 func newController(cfg *config.Settings, policy *config.Policy, log *slog.Logger) *Controller {
 	c := &Controller{cfg: cfg, policy: policy, log: log, now: time.Now, spawn: func(f func()) { go f() }, inc: rand.Uint64() >> 12, rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		wake:    make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), orphans: make(chan struct{}, 1),
 		fencing: make(chan struct{}, 8), users: make(chan struct{}, 128),
 		mine: map[string]*ownPart{}, sessions: map[string]*part.Session{}, absent: map[string]time.Time{}, homeUp: map[string]time.Time{},
 		booting: map[string]time.Time{}, refused: map[string]refusal{}, past: map[string]job.Past{}, adopt: map[string]part.Machine{},
@@ -284,10 +285,20 @@
 		}
 	}
 	c.m.advance(epoch)
+	orphan := false
+	for _, p := range c.parts {
+		orphan = orphan || c.m.owns[p].v == nil
+	}
 	c.mu.Unlock()
 	if len(log) > 0 {
 		c.poke()
 	}
+	if orphan {
+		select {
+		case c.orphans <- struct{}{}:
+		default:
+		}
+	}
 	return nil
 }
 
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -13,7 +13,14 @@
 // holdLoop keeps this node's hold and with it the parts it owns.
 func (c *Controller) holdLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, c.holdStep(ctx))
+		t := time.NewTimer(c.holdStep(ctx))
+		select {
+		case <-t.C:
+		case <-c.orphans: // its turn may be ours
+			sleep(ctx, c.cfg.HoldTTL()/32)
+		case <-ctx.Done():
+		}
+		t.Stop()
 	}
 }
 
