Sessions keep their own patience with booting machines; summary in the log

Cause, found by reading: a part that came back to an earlier owner found that owner's old clock for a machine that had come up meanwhile, and drained it. More fences may run at once, so that machines without an answer do not hold up those with one. Lanes and lately failed jobs in memory are bounded.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"sync"
 	"time"
@@ -95,7 +97,6 @@
 	absent   map[string]time.Time // parts without an owner, since when
 	homeUp   map[string]time.Time // nodes alive, since when seen so
 	flavors  []cloud.Flavor
-	booting  map[string]time.Time // machines that never reported, since when known
 	refused  map[string]refusal
 	hires    int
 	past     map[string]job.Past
@@ -147,9 +148,9 @@
 func newController(cfg *config.Settings, policy *config.Policy, log *slog.Logger) *Controller {
 	c := &Controller{cfg: cfg, policy: policy, log: log, now: time.Now, spawn: func(f func()) { go f() }, inc: rand.Uint64() >> 12, rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		wake: make(chan struct{}, 1), orphans: make(chan struct{}, 1),
-		fencing: make(chan struct{}, 8), users: make(chan struct{}, 128),
+		fencing: make(chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/16)), users: make(chan struct{}, 128),
 		mine: map[string]*ownPart{}, sessions: map[string]*part.Session{}, absent: map[string]time.Time{}, homeUp: map[string]time.Time{},
-		booting: map[string]time.Time{}, refused: map[string]refusal{}, past: map[string]job.Past{}, adopt: map[string]part.Machine{},
+		refused: map[string]refusal{}, past: map[string]job.Past{}, adopt: map[string]part.Machine{},
 		retryAt: map[string]time.Time{}, errSeen: map[string]int{}, arrivals: map[string][]arrival{}, bias: map[string]float64{},
 		reach: reach{store: true, peers: map[string]bool{}}, renting: renting{inDoubt: map[sched.Offer]cloud.Rental{}, seen: map[string]time.Time{}}}
 	c.m = newMirror(log, c.arrived)
@@ -169,7 +170,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){c.holdLoop, c.watchLoop, c.decideLoop, c.cloudLoop, c.peerLoop} {
+	for _, f := range []func(context.Context){c.holdLoop, c.watchLoop, c.decideLoop, c.cloudLoop, c.peerLoop, c.summaryLoop} {
 		wg.Go(func() { f(ctx) })
 	}
 	select {
@@ -214,6 +215,31 @@
 	}
 }
 
+// summaryLoop logs from time to time what this node uses and holds.
+func (c *Controller) summaryLoop(ctx context.Context) {
+	every := 4 * c.cfg.Lease()
+	var reqs, writes float64
+	for sleep(ctx, every) {
+		r, w := reqs, writes
+		if u, ok := c.store.(interface{ Used() (float64, float64) }); ok {
+			r, w = u.Used()
+		}
+		var mem runtime.MemStats
+		runtime.ReadMemStats(&mem)
+		c.mu.Lock()
+		c.log.Info("summary", "store_rps", math.Round((r-reqs)/every.Seconds()*10)/10, "write_rps", math.Round((w-writes)/every.Seconds()*10)/10,
+			"jobs", len(c.m.jobs), "hosts", len(c.m.hosts), "parts", len(c.mine), "heap_kb", mem.HeapAlloc>>10)
+		for uid := range c.errSeen { // of jobs that are over
+			if c.m.jobs[uid] == nil {
+				delete(c.errSeen, uid)
+				delete(c.retryAt, uid)
+			}
+		}
+		c.mu.Unlock()
+		reqs, writes = r, w
+	}
+}
+
 // sleep waits, or tells that ctx has ended.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -581,7 +581,6 @@
 		if done {
 			c.mu.Lock()
 			delete(c.sessions, host)
-			delete(c.booting, host)
 			c.mu.Unlock()
 			c.log.Info("machine forgotten", "host", host)
 		}
--- a/internal/controller/found_test.go
+++ b/internal/controller/found_test.go
@@ -351,3 +351,27 @@
 		}
 	}
 }
+
+// A part that changes owners and comes back must not carry the first owner's
+// patience with a machine that was still booting then: it came up meanwhile.
+func TestMachineOutlivesChangesOfOwner(t *testing.T) {
+	s := warmSim()
+	id := s.job(func(r *api.Run, _ *time.Duration) { r.Shape, r.Pieces = api.Daemon, 1 })
+	s.rounds(t, 20, "machine known", func() bool { return len(s.nodes[0].c.m.hosts) > 0 })
+	home := 0
+	for _, m := range s.nodes[0].c.m.hosts {
+		home = int(m.v.Part[1] - '0')
+	}
+	s.w.Store.Refuse[s.nodes[home].name] = true // before the machine is up
+	s.rounds(t, 60, "replica runs", func() bool { return s.running(id) == 1 })
+	for range 100 {
+		s.round()
+	}
+	s.w.Store.Refuse[s.nodes[home].name] = false
+	for range 60 {
+		s.round()
+		if s.running(id) != 1 {
+			t.Fatal("the replica was stopped")
+		}
+	}
+}
--- a/internal/controller/headroom.go
+++ b/internal/controller/headroom.go
@@ -25,6 +25,10 @@
 
 // arrived notes a job for the head-room. It is called with the lock held.
 func (c *Controller) arrived(m *job.Main) {
+	const lanes = 64
+	if c.arrivals[m.Run.Lane] == nil && len(c.arrivals) >= lanes {
+		clear(c.arrivals) // users may name lanes at will
+	}
 	l := append(c.arrivals[m.Run.Lane], arrival{time.UnixMilli(m.AtMS), &m.Run, float64(m.Run.Pieces)})
 	if len(l) > mostArrivals {
 		l = l[1:]
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -228,7 +228,7 @@
 func (c *Controller) session(host string, o *ownPart) *part.Session {
 	s := c.sessions[host]
 	if s == nil || s.Term != o.term {
-		s = part.NewSession(o.term, o.answered)
+		s = part.NewSession(o.term, c.now(), o.answered)
 		c.sessions[host] = s
 	}
 	return s
@@ -308,7 +308,6 @@
 		return false
 	}
 	s.Seen = c.now()
-	delete(c.booting, host)
 	c.poke()
 	return true
 }
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -310,10 +310,9 @@
 		c.poke()
 	}
 	if !s.Fenced {
-		if _, ok := c.booting[host]; !ok {
-			c.booting[host] = now
-		}
-		if now.Sub(c.booting[host]) > 4*startup+c.cfg.Lease() {
+		// Counted from this owner's taking the part: what an earlier one waited
+		// says nothing of a machine that came up under it.
+		if now.Sub(s.Since) > 4*startup+c.cfg.Lease() {
 			drain("never came up")
 		}
 		return
--- a/internal/controller/slots.go
+++ b/internal/controller/slots.go
@@ -12,6 +12,10 @@
 // observe learns how long tasks of a lane run against their owners' estimates,
 // which are often mostly too high or mostly too low. Call with the lock held.
 func (c *Controller) observe(lane string, ratio float64) {
+	const lanes = 64
+	if _, ok := c.bias[lane]; !ok && len(c.bias) >= lanes {
+		clear(c.bias)
+	}
 	ratio = min(max(ratio, 0.1), 10)
 	if old, ok := c.bias[lane]; ok {
 		ratio = math.Exp(0.9*math.Log(old) + 0.1*math.Log(ratio))
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -72,6 +72,7 @@
 // Session is what the owner knows of one worker under its present term.
 type Session struct {
 	Term     uint64
+	Since    time.Time    // when the session began
 	Fenced   bool         // the worker has said that it has seen this term
 	Report   *api.Checkin // newest report made under this term
 	Seen     time.Time    // last sign of life
@@ -92,8 +93,8 @@
 
 // NewSession starts a worker's session under a term. answered is the latest
 // time at which an earlier owner can have answered it.
-func NewSession(term uint64, answered time.Time) *Session {
-	return &Session{Term: term, Answered: answered, Releases: map[string]Release{}, Errors: map[string]bool{}, Started: map[string]Start{}}
+func NewSession(term uint64, now, answered time.Time) *Session {
+	return &Session{Term: term, Since: now, Answered: answered, Releases: map[string]Release{}, Errors: map[string]bool{}, Started: map[string]Start{}}
 }
 
 // Accept takes a report if it can be believed: made after the worker saw this
