--- a/internal/controller/found_test.go
+++ b/internal/controller/found_test.go
@@ -375,3 +375,45 @@
 		}
 	}
 }
+
+// An outage of the state service takes no node out of the balancer's sight, not
+// even one that starts in it; a node that is still loading is not ready.
+func TestHealthInOutage(t *testing.T) {
+	s := newSim()
+	c := s.nodes[0].c
+	if r := c.health(); r.Status != 503 {
+		t.Errorf("before it has loaded: %d", r.Status)
+	}
+	c.storeAnswered(false)
+	if r := c.health(); r.Status != 200 {
+		t.Errorf("started in an outage: %d", r.Status)
+	}
+	if r := c.submit(context.Background(), submission(&api.Run{UID: "run-000001", Lane: "l", Owner: "b", Shape: api.Sweep, Rank: "idle", Pieces: 1, Bundle: "i"})); r.Status != 503 || r.RetryAfter == 0 {
+		t.Errorf("a submission in an outage: %d, to come back after %d s", r.Status, r.RetryAfter)
+	}
+	s.step(0)
+	c.storeAnswered(true)
+	if r := c.health(); r.Status != 200 {
+		t.Errorf("loaded: %d", r.Status)
+	}
+}
+
+// A part that a peer took between the look and the take is left to it.
+func TestPartIsNotTakenFromALivingOwner(t *testing.T) {
+	s := warmSim()
+	c := s.nodes[1].c
+	before := c.mine["n1"].term
+	old := c.m.owns["n0"].stamp
+	s.nodes[0].up = false
+	s.rounds(t, 40, "part of n0 taken", func() bool { o := s.owner("n0"); return o != "" })
+	taker := s.owner("n0")
+	other := s.nodes[1]
+	if taker == "n1" {
+		other = s.nodes[2]
+	}
+	s.round()
+	other.c.acquire(context.Background(), "n0", old) // it still looks at the old owner's key
+	if s.owner("n0") != taker || other.c.mine["n0"] != nil || c.mine["n1"].term != before {
+		t.Fatal("the part changed hands")
+	}
+}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -89,8 +89,10 @@
 		}
 	}
 	var take, give []string
+	seen := map[string]uint64{} // versions of the owners' keys that this rests on
 	for _, p := range c.parts {
 		v, ok := c.m.owns[p]
+		seen[p] = v.stamp
 		if ok {
 			delete(c.absent, p)
 			o := c.mine[p]
@@ -130,7 +132,7 @@
 		c.handBack(ctx, p)
 	}
 	for _, p := range take {
-		c.acquire(ctx, p)
+		c.acquire(ctx, p, seen[p])
 	}
 }
 
@@ -166,10 +168,16 @@
 
 // acquire takes a part: its owner's key under our hold, and a term above all
 // that were ever given out, which is the part's baton.
-func (c *Controller) acquire(ctx context.Context, p string) {
+func (c *Controller) acquire(ctx context.Context, p string, seen uint64) {
 	me := c.cfg.HostName
 	c.mu.Lock()
 	old, had := c.m.owns[p]
+	if old.stamp != seen {
+		// Somebody took it since: with the newer version the guard would hold,
+		// and the part be taken from a living owner.
+		c.mu.Unlock()
+		return
+	}
 	rec := c.m.parts[p]
 	term := c.m.term + 1
 	t := newTxn()
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -15,7 +14,6 @@
 // it. A node can't tell an outage from a refusal of itself alone; peers can.
 type reach struct {
 	store bool            // our last request was served
-	since time.Time       // when that last changed
 	peers map[string]bool // peers that answer, and whether they reach the state service
 }
 
@@ -23,7 +21,7 @@
 func (c *Controller) storeAnswered(ok bool) {
 	c.mu.Lock()
 	if c.reach.store != ok {
-		c.reach.store, c.reach.since = ok, c.now()
+		c.reach.store = ok
 		c.log.Info("state service", "reached", ok)
 	}
 	c.mu.Unlock()
@@ -41,7 +39,7 @@
 func (c *Controller) peerLoop(ctx context.Context) {
 	for sleep(ctx, c.cfg.HoldTTL()/8) {
 		c.mu.Lock()
-		lost := c.loaded && !c.reach.store
+		lost := !c.reach.store
 		c.mu.Unlock()
 		if !lost {
 			continue
@@ -64,7 +62,7 @@
 func (c *Controller) helper() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.reach.store || !c.loaded {
+	if c.reach.store {
 		return ""
 	}
 	for _, m := range c.cfg.Members {
@@ -75,13 +73,6 @@
 	return ""
 }
 
-// isolated tells whether this node reaches neither the state service nor any
-// peer: then it can do nothing for users. An outage of the service alone leaves
-// the peers, and must not take all nodes out. Call with the lock held.
-func (c *Controller) isolated() bool {
-	return !c.reach.store && len(c.reach.peers) == 0 && len(c.cfg.Members) > 0 && c.now().Sub(c.reach.since) > c.cfg.HoldTTL()
-}
-
 // serve answers a user's request here, or lets a peer do it when this node
 // can't reach the state service and the peer can.
 func (c *Controller) serve(ctx context.Context, r *peer.Request) transport.Response {
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -74,7 +74,11 @@
 func (c *Controller) health() transport.Response {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.loaded || c.isolated() {
+	// A node that has just started is not ready before it has read what lives.
+	// One that can't reach the state service stays in: a peer may serve for it,
+	// and in an outage of all, nodes taken out would stay out for long after it,
+	// since the balancer's pauses double.
+	if !c.loaded && c.reach.store {
 		return errBusy
 	}
 	return reply(200, map[string]string{"node": c.cfg.HostName})
