Tasks whose aim a cold start would miss look for their image first

Cause: qurum's receipts start in 3 s on a machine with the image and in 10 to 12 s without, against an aim of 10 s. Only such tasks put the image before fullness, and stopping others on warm machines is preferred.

--- a/internal/controller/headroom.go
+++ b/internal/controller/headroom.go
@@ -68,10 +68,10 @@
 // while one does. What ends in that time makes room for the average. Call with
 // the lock held.
 func (c *Controller) headroom(now time.Time) []wanted {
-	startup, pull := 0.0, 0.0
+	startup := 0.0
 	for _, f := range c.flavors {
 		if startup == 0 || f.StartupS < startup {
-			startup, pull = f.StartupS, f.PullGBPerS
+			startup = f.StartupS
 		}
 	}
 	if startup == 0 {
@@ -93,7 +93,7 @@
 			continue
 		}
 		rank, _ := api.RankOf(last.Rank)
-		slack := c.slack(lane, last, pull)
+		slack := c.slack(lane, last, c.pull(last))
 		w := config.Work{Lane: lane, Owner: last.Owner, Shape: last.Shape, Rank: rank, Slack: min(slack, never), Pieces: last.Pieces, GPUs: last.GPUs, CPUs: last.CPUs}
 		n := int(math.Ceil(c.policy.Headroom(w, math.Sqrt(squares/windows), startup, min(slack, never))))
 		if n == 0 {
@@ -116,13 +116,10 @@
 	return out
 }
 
-// slack is how long a job of the lane can wait before it misses its aim.
-func (c *Controller) slack(lane string, r *api.Run, pull float64) float64 {
+// slack is how long a job of the lane can wait before it misses its aim, when
+// fetching its image takes so many seconds.
+func (c *Controller) slack(lane string, r *api.Run, fetch float64) float64 {
 	s := math.Inf(1)
-	fetch := 0.0
-	if pull > 0 {
-		fetch = r.SizeGB / pull
-	}
 	if r.DueS != nil {
 		s = *r.DueS - r.GuessS - fetch
 	}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -319,6 +319,7 @@
 		}
 		ask := askOf(r)
 		ask.PullS = c.pull(r)
+		ask.Warm = c.slack(r.Lane, r, ask.PullS) < 2*c.cfg.Report().Seconds()
 		z := c.zonesOf(q.j)
 		team, _ := c.cfg.Team(r.Owner)
 		l := &lacking{q: q, ask: ask, z: z}
@@ -489,6 +490,9 @@
 		take, cost := sched.Preempt(h.Free, a.Need, cand)
 		if !h.Warm[a.Bundle] {
 			cost += a.PullS // the task waits for its image there
+			if a.Warm {
+				cost += 10 * a.PullS // and misses its aim
+			}
 		}
 		if take == nil || best != nil && cost >= bestCost {
 			continue
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -48,6 +48,7 @@
 	Bundle  string
 	Daemon  bool                   // a service's replica
 	PullS   float64                // seconds that fetching its image takes
+	Warm    bool                   // fetching its image would miss its aim
 	ZoneOK  func(site string) bool // what the job's other tasks leave; nil: any
 }
 
@@ -82,7 +83,8 @@
 
 // FullestFit gives the fitting machine that is left fullest; among equals one
 // without tasks of the other shape, then one that has the image, then a spot
-// one, so that ordinary machines stay for those that need them.
+// one, so that ordinary machines stay for those that need them. Only a task
+// whose aim a cold start would miss looks for its image before fullness.
 func FullestFit(hosts []*Host, a *Ask) *Host {
 	var best *Host
 	var bestLeft float64
@@ -90,6 +92,8 @@
 		switch {
 		case best == nil:
 			return true
+		case a.Warm && h.Warm[a.Bundle] != best.Warm[a.Bundle]:
+			return h.Warm[a.Bundle]
 		case l < bestLeft-eps:
 			return true
 		case l > bestLeft+eps:
