--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"net/url"
 	"slices"
 	"time"
@@ -362,12 +361,10 @@
 	coming := c.vacating(hosts)
 	out.left = coming
 	over := c.beyondGuarantee(queue)
-	free := c.slots(coming, now)
 	for _, l := range lack {
 		u := sched.Unmet{Ask: l.ask}
-		wait := len(l.tasks) - c.canWait(l, free, now)
 		if !l.q.mine {
-			out.all = append(out.all, sched.Unmet{Ask: l.ask, Count: len(l.tasks) - wait})
+			out.all = append(out.all, sched.Unmet{Ask: l.ask, Count: len(l.tasks)})
 			continue
 		}
 		var left []task
@@ -390,10 +387,10 @@
 			}
 			left = append(left, t)
 		}
-		if len(left) <= wait {
+		if len(left) == 0 {
 			continue
 		}
-		u.Count = int(math.Ceil(float64(len(left)-wait) / c.rounds(l, now)))
+		u.Count = len(left)
 		out.all = append(out.all, sched.Unmet{Ask: l.ask, Count: u.Count})
 		n := 0
 		u.Ask.ZoneOK = func(site string) bool { return n >= len(left) || l.z.ok(left[n].chunk, site) }
