--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -183,7 +183,7 @@
 	c.log.Info("stopping")
 	wg.Wait()
 	c.leave()
-	stop, done := context.WithTimeout(context.Background(), time.Second)
+	stop, done := context.WithTimeout(context.Background(), 5*time.Second) // gnet looks twice a second whether it has ended
 	defer done()
 	for _, s := range []*transport.Server{c.server, c.cluster} {
 		if err := s.Stop(stop); err != nil {
