--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"os"
 	"slices"
 	"testing"
@@ -87,6 +88,7 @@
 	names := []string{"n0", "n1", "n2"}
 	cfg := settings(i, names, s.w.Zones, s.w.Limits)
 	n.c = newController(cfg, config.DefaultPolicy(), s.log.With("node", n.name))
+	n.c.rnd = rand.New(rand.NewPCG(uint64(i), 1))
 	begin := s.w.Now
 	fast := float64(i) * 0.00025 // clocks run up to 0.05 per cent fast
 	n.c.now = func() time.Time {
