--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -55,6 +55,9 @@
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithReadBufferCap(16<<10), gnet.WithLogger(quiet{}), gnet.WithLogLevel(logging.ErrorLevel))
 }
 
+// Booted is closed once the server listens.
+func (s *Server) Booted() <-chan struct{} { return s.booted }
+
 // Stop ends the server if it has started.
 func (s *Server) Stop(ctx context.Context) error {
 	select {
