--- a/internal/controller/found_test.go
+++ b/internal/controller/found_test.go
@@ -417,3 +417,21 @@
 		t.Fatal("the part changed hands")
 	}
 }
+
+// A machine that was lost under an earlier owner is given up by the next one
+// soon, not after the time of a whole boot once more.
+func TestLostMachineIsGivenUpByTheNextOwner(t *testing.T) {
+	s := warmSim()
+	s.job(func(r *api.Run, _ *time.Duration) { r.Shape, r.Pieces = api.Daemon, 1 })
+	s.rounds(t, 60, "machine up", func() bool { return len(s.w.Cloud.Hosts) > 0 && s.running("run-000000") == 1 })
+	host := s.w.Cloud.Names()[0]
+	for range 90 { // long enough for any boot
+		s.round()
+	}
+	home := int(s.nodes[0].c.m.hosts[host].v.Part[1] - '0')
+	s.w.Cloud.Hosts[host].Cut = true
+	s.w.Store.Refuse[s.nodes[home].name] = true
+	cfg := s.nodes[0].c.cfg
+	bound := cfg.Grace() + cfg.LeaseBound() + 2*cfg.HoldTTL() + 2*time.Second // its task is surely dead then
+	s.rounds(t, int(bound/(500*time.Millisecond)), "machine returned", func() bool { return s.w.Cloud.Hosts[host] == nil })
+}
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -310,10 +310,12 @@
 		c.poke()
 	}
 	if !s.Fenced {
-		// Counted from this owner's taking the part: what an earlier one waited
-		// says nothing of a machine that came up under it.
-		if now.Sub(s.Since) > 4*startup+c.cfg.Lease() {
-			drain("never came up")
+		// It has had time to boot, and since this owner took the part time to
+		// answer a fence: what an earlier owner waited says nothing of a machine
+		// that came up under it, but one that was lost under it must not be given
+		// the time of a whole boot once more.
+		if now.Sub(time.UnixMilli(m.AtMS)) > 4*startup+c.cfg.Lease() && now.Sub(s.Since) > 2*c.cfg.LeaseBound() {
+			drain("never came up, or silent since before the part was taken")
 		}
 		return
 	}
