--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -14,14 +14,13 @@
 
 // Main is a living job's main record.
 type Main struct {
-	Run    api.Run `json:"r"`
-	Part   string  `json:"p"`            // the part whose owner places it
-	AtMS   int64   `json:"at"`           // time of day of its acceptance
-	Chunk  int     `json:"k"`            // tasks in a chunk
-	Gone   bool    `json:"w,omitempty"`  // withdrawn, some tasks may still be on machines
-	Fin    []int   `json:"f,omitempty"`  // chunks that are done, as ranges [from, to, from, to, ...)
-	Zone   string  `json:"z,omitempty"`  // the zone of a job whose tasks go together, once chosen
-	StopMS int64   `json:"wt,omitempty"` // time of day of the withdrawal
+	Run   api.Run `json:"r"`
+	Part  string  `json:"p"`           // the part whose owner places it
+	AtMS  int64   `json:"at"`          // time of day of its acceptance
+	Chunk int     `json:"k"`           // tasks in a chunk
+	Gone  bool    `json:"w,omitempty"` // withdrawn, some tasks may still be on machines
+	Fin   []int   `json:"f,omitempty"` // chunks that are done, as ranges [from, to, from, to, ...)
+	Zone  string  `json:"z,omitempty"` // the zone of a job whose tasks go together, once chosen
 }
 
 // Past is what stays of a job that is over.
