--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -180,6 +180,13 @@
 	return time.Duration(float64(s.Lease())*drift) + s.Report()/8
 }
 
+// Pause is how long a controller lets things come together before it commits
+// again: about three changes' time at its share of the write rate, and short
+// against a report round.
+func (s *Settings) Pause() time.Duration {
+	return min(s.Report()/12, secs(float64(s.Facts.Size)/s.Facts.State.WriteRPS))
+}
+
 // HoldTTL is the life of a controller's hold: two report rounds, so that
 // others take over before the workers' leases run out.
 func (s *Settings) HoldTTL() time.Duration {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"runtime"
@@ -34,6 +35,7 @@
 		List(ctx context.Context, prefix string) (items []store.Item, epoch uint64, err error)
 		Changes(ctx context.Context, prefix string, since uint64, block time.Duration) ([]store.Change, uint64, error)
 		Multi(ctx context.Context, t *store.Txn, r store.Rank) (epoch uint64, ok bool, failed []string, err error)
+		Ready(ctx context.Context, n int, r store.Rank) int
 		Hold(ctx context.Context, ttl time.Duration) (uint64, error)
 		Touch(ctx context.Context, permit uint64) error
 		Release(ctx context.Context, permit uint64) error
@@ -104,6 +106,11 @@
 	adopt    map[string]part.Machine // strangers to be recorded
 	retryAt  map[string]time.Time    // jobs that failed, when they are tried again
 	errSeen  map[string]int
+	inList   map[string]bool      // machines in the cloud's newest list
+	news     map[string]bool      // machines where tasks were placed, or are to leave, since their owner last looked
+	commits  map[string]commits   // by what they were for, since the last summary
+	planned  time.Duration        // processor time of plans since the last decision
+	forgotAt time.Time            // when machines were last forgotten
 	movedAt  time.Time            // when replicas were last moved to save a machine
 	bias     map[string]float64   // by lane, run times against estimates
 	arrivals map[string][]arrival // by lane, the recent ones
@@ -115,9 +122,13 @@
 	stamp    uint64    // version of the owner's key
 	answered time.Time // latest time at which an earlier owner can have answered
 	leaving  bool      // being handed over: nothing is answered
+	kept     time.Time // when its record was last brought up to date by itself
 	bump     bool      // a worker has seen a higher term: take a new one
 }
 
+// commits counts transactions for the log's summary.
+type commits struct{ txns, writes, overtaken, lost, failed int }
+
 type refusal struct {
 	until time.Time
 	wait  time.Duration
@@ -151,9 +162,9 @@
 		fencing: make(chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/16)), users: make(chan struct{}, 128),
 		mine: map[string]*ownPart{}, sessions: map[string]*part.Session{}, absent: map[string]time.Time{}, homeUp: map[string]time.Time{},
 		refused: map[string]refusal{}, past: map[string]job.Past{}, adopt: map[string]part.Machine{},
-		retryAt: map[string]time.Time{}, errSeen: map[string]int{}, arrivals: map[string][]arrival{}, bias: map[string]float64{},
+		retryAt: map[string]time.Time{}, errSeen: map[string]int{}, news: map[string]bool{}, commits: map[string]commits{}, arrivals: map[string][]arrival{}, bias: map[string]float64{},
 		reach: reach{store: true, peers: map[string]bool{}}, renting: renting{inDoubt: map[sched.Offer]cloud.Rental{}, seen: map[string]time.Time{}}}
-	c.m = newMirror(log, c.arrived)
+	c.m = newMirror(log, c.arrived, func(host string) { c.news[host] = true })
 	c.parts = append(c.parts, cfg.HostName)
 	for _, m := range cfg.Members {
 		c.parts = append(c.parts, m.HostName)
@@ -229,6 +240,11 @@
 		c.mu.Lock()
 		c.log.Info("summary", "store_rps", math.Round((r-reqs)/every.Seconds()*10)/10, "write_rps", math.Round((w-writes)/every.Seconds()*10)/10,
 			"jobs", len(c.m.jobs), "hosts", len(c.m.hosts), "parts", len(c.mine), "heap_kb", mem.HeapAlloc>>10)
+		for _, what := range slices.Sorted(maps.Keys(c.commits)) {
+			n := c.commits[what]
+			c.log.Info("commits", "for", what, "transactions", n.txns, "changes", n.writes, "overtaken", n.overtaken, "changes_lost", n.lost, "failed", n.failed)
+		}
+		clear(c.commits)
 		for uid := range c.errSeen { // of jobs that are over
 			if c.m.jobs[uid] == nil {
 				delete(c.errSeen, uid)
@@ -254,7 +270,7 @@
 
 // watchLoop keeps the mirror up to date: the paper's state change callback.
 func (c *Controller) watchLoop(ctx context.Context) {
-	pause := c.cfg.Report() / 15
+	pause := c.cfg.Pause()
 	for ctx.Err() == nil {
 		c.mu.Lock()
 		loaded, since := c.loaded, c.m.epoch
@@ -271,6 +287,7 @@
 			sleep(ctx, c.cfg.HoldTTL()/8)
 			continue
 		}
+		c.nudgeRound(ctx)
 		sleep(ctx, pause)
 	}
 }
@@ -388,8 +405,22 @@
 
 // commit sends a transaction and takes its outcome into the mirror. done is
 // false when it surely did not commit or when that is not known.
-func (c *Controller) commit(ctx context.Context, t *txn, r store.Rank) (done bool, failed []string, err error) {
-	epoch, ok, failed, err := c.store.Multi(ctx, t.wire(), r)
+func (c *Controller) commit(ctx context.Context, what string, t *txn, r store.Rank) (done bool, failed []string, err error) {
+	w := t.wire()
+	epoch, ok, failed, err := c.store.Multi(ctx, w, r)
+	c.mu.Lock()
+	n := c.commits[what]
+	n.writes += len(w.Then)
+	n.txns++
+	if err != nil {
+		n.failed++
+	} else if !ok {
+		n.overtaken++
+		n.lost += len(w.Then)
+		c.log.Debug("overtaken", "what", what, "by", failed)
+	}
+	c.commits[what] = n
+	c.mu.Unlock()
 	if err == nil && ok {
 		c.mu.Lock()
 		c.m.applied(t, epoch)
--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
 
 	"violetturn/internal/api"
+	"violetturn/internal/config"
 	"violetturn/internal/job"
 	"violetturn/internal/part"
 	"violetturn/internal/sched"
@@ -18,10 +20,9 @@
 
 // decideLoop commits what reports and jobs call for, one transaction at a time.
 // It runs when something has changed and at least twice in a report round, and
-// leaves a little time between, so that what comes together is committed
-// together.
+// leaves some time between: what comes together is committed together, and a
+// slow processor has most of its time for reports.
 func (c *Controller) decideLoop(ctx context.Context) {
-	pause := c.cfg.Report() / 15
 	for {
 		t := time.NewTimer(c.cfg.Report() / 2)
 		select {
@@ -33,20 +34,26 @@
 		}
 		t.Stop()
 		c.decide(ctx)
-		if !sleep(ctx, pause) {
+		c.mu.Lock()
+		spent := c.planned
+		c.planned = 0
+		c.mu.Unlock()
+		if !sleep(ctx, max(c.cfg.Pause(), 3*spent)) {
 			return
 		}
 	}
 }
 
 func (c *Controller) decide(ctx context.Context) {
-	steps := []func(context.Context) bool{c.recordStrangers, c.releaseRound, c.retireRound, c.placeRound, c.stopRound, c.upkeepRound, c.forgetRound}
+	// Under load the budget of changes sets the pace: what comes together while
+	// it fills goes into few large transactions instead of many small ones.
+	if !c.acting() || c.store.Ready(ctx, c.cfg.Facts.State.TxnOps, store.Decision) < 2 || c.fresh(ctx) != nil {
+		return
+	}
+	steps := []func(context.Context) bool{c.recordStrangers, c.releaseRound, c.retireRound, c.placeRound, c.upkeepRound, c.forgetRound}
 	for _, step := range steps {
 		for range 16 { // each step commits one transaction at a time
-			c.mu.Lock()
-			act := c.canAct(c.now())
-			c.mu.Unlock()
-			if !act || ctx.Err() != nil {
+			if !c.acting() || ctx.Err() != nil {
 				return
 			}
 			if !step(ctx) {
@@ -54,6 +61,13 @@
 			}
 		}
 	}
+	c.nudgeRound(ctx)
+}
+
+func (c *Controller) acting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.canAct(c.now())
 }
 
 // guardOwn guards a transaction on this node's ownership of a part: an owner
@@ -68,114 +82,255 @@
 }
 
 // writePart writes a part's free-room record. Call with the lock held.
-func (c *Controller) writePart(t *txn, p string, free map[string]sched.Room) {
+func (c *Controller) writePart(t *txn, p string, free part.Free, use map[string][3]float64) {
 	rec := c.m.parts[p]
 	t.guard(partKey+p, rec.stamp)
-	r := part.Record{Term: rec.v.Term, By: rec.v.By, Doubt: rec.v.Doubt, Free: map[string][3]float64{}}
+	r := part.Record{Term: rec.v.Term, By: rec.v.By, Doubt: rec.v.Doubt, Free: free, Use: use}
 	if o := c.owned(p); o != nil && c.now().After(o.answered) {
 		r.Doubt = false // the grace of whoever came before us is over
 	}
-	for h, x := range free {
-		r.Free[h] = part.Vec(x)
+	if n := r.Free.Trim(c.valueRoom() - 128*len(use)); n > 0 {
+		c.log.Info("machines not offered to peers", "part", p, "machines", n, "why", "they don't fit the part's record; those with least room are left out")
 	}
 	t.write(partKey+p, r)
 }
 
-// writeTeams writes what limited teams hold in a part after some of their tasks
-// there came or went. Call with the lock held.
-func (c *Controller) writeTeams(t *txn, p string, change map[string]sched.Room) {
-	for name, d := range change {
-		team, _ := c.cfg.Team(name)
-		if !team.Limited() {
+// valueRoom is how many bytes of a value records may use.
+func (c *Controller) valueRoom() int { return int(c.cfg.Facts.State.ValueKB * 1024 * 7 / 8) }
+
+// useOf sums what limited teams' tasks hold in a part, ended ones that are not
+// yet committed as such included: another owner might start them anew. Call with
+// the lock held.
+func (c *Controller) useOf(p string) map[string][3]float64 {
+	sum := map[string]sched.Room{}
+	for host, on := range c.m.onHost {
+		if m := c.m.hosts[host]; m == nil || m.Part != p {
 			continue
 		}
-		held := sched.Room{}
-		for host, on := range c.m.onHost {
-			if m := c.m.hosts[host]; m.v == nil || m.v.Part != p {
-				continue
+		for _, pl := range on {
+			if j := c.m.jobs[pl.uid]; j != nil {
+				sum[j.main.Run.Owner] = sum[j.main.Run.Owner].Add(need(&j.main.Run))
 			}
-			for _, pl := range on {
-				if j := c.m.jobs[pl.uid]; j != nil && j.main.Run.Owner == name {
-					held = held.Add(need(&j.main.Run))
-				}
+		}
+	}
+	use := map[string][3]float64{}
+	for _, t := range c.cfg.Facts.Teams {
+		if r, ok := sum[t.Name]; ok && t.Limited() {
+			use[t.Name] = part.Vec(r)
+		}
+	}
+	return use
+}
+
+func limitOf(t config.Team) sched.Room { return sched.Room{CPUs: t.CPUsMax, GPUs: t.GPUsMax} }
+
+// shareOf gives what a part holds of a team's limit, and what the others hold.
+// Call with the lock held.
+func (c *Controller) shareOf(team, p string) (held, others sched.Room) {
+	if u := c.m.teams[teamID(team)].v; u != nil {
+		for q, v := range u.Held {
+			if q == p {
+				held = part.Unvec(v)
+			} else {
+				others = others.Add(part.Unvec(v))
 			}
 		}
-		id := teamID(name)
-		old := c.m.teams[id]
-		u := part.Usage{Held: map[string][3]float64{}}
-		if old.v != nil {
-			for k, v := range old.v.Held {
-				u.Held[k] = v
+	}
+	return held, others
+}
+
+// writeShares writes what parts hold of teams' limits from now on. It goes only
+// with writes of those parts' records. Call with the lock held.
+func (c *Controller) writeShares(t *txn, shares map[string]map[string]sched.Room) {
+	teams := map[string]part.Usage{}
+	for p, byTeam := range shares {
+		for name, r := range byTeam {
+			id := teamID(name)
+			u, ok := teams[id]
+			if !ok {
+				u = part.Usage{Held: map[string][3]float64{}}
+				if old := c.m.teams[id].v; old != nil {
+					maps.Copy(u.Held, old.Held)
+				}
+				teams[id] = u
 			}
+			u.Held[p] = part.Vec(r)
 		}
-		u.Held[p] = part.Vec(held.Add(d))
-		t.guard(teamKey+id, old.stamp)
+	}
+	for id, u := range teams {
+		t.guard(teamKey+id, c.m.teams[id].stamp)
 		t.write(teamKey+id, u)
 	}
 }
 
-func (c *Controller) limitedTeams(uids map[string]bool) int {
-	seen := map[string]bool{}
-	for uid := range uids {
-		name := c.m.jobs[uid].main.Run.Owner
-		if team, _ := c.cfg.Team(name); team.Limited() {
-			seen[name] = true
+type chunkID struct {
+	uid string
+	n   int
+}
+
+// edit collects changes of jobs' records for one transaction.
+type edit struct {
+	c      *Controller
+	t      *txn
+	jobs   map[string]*liveJob
+	mains  map[string]*job.Main
+	chunks map[chunkID]*job.Chunk
+	drops  map[chunkID]bool
+	n      int // changes so far
+	most   int // changes at most
+}
+
+func (c *Controller) edit() *edit {
+	return &edit{c: c, t: newTxn(), jobs: map[string]*liveJob{}, mains: map[string]*job.Main{}, chunks: map[chunkID]*job.Chunk{}, drops: map[chunkID]bool{}, most: c.cfg.Facts.State.TxnOps}
+}
+
+// main gives a copy of the job's main record to be changed.
+func (e *edit) main(j *liveJob) *job.Main {
+	uid := j.main.Run.UID
+	m := e.mains[uid]
+	if m == nil {
+		m = j.main.Copy()
+		e.mains[uid], e.jobs[uid] = m, j
+		e.t.guard(jobKey+uid, j.stamp)
+		e.n++
+	}
+	return m
+}
+
+// chunk gives a copy of a chunk to be changed.
+func (e *edit) chunk(j *liveJob, n int) *job.Chunk {
+	id := chunkID{j.main.Run.UID, n}
+	ch := e.chunks[id]
+	if ch == nil {
+		ch = j.chunks[n].v.Copy()
+		e.chunks[id], e.jobs[id.uid] = ch, j
+		if j.main.Inner {
+			e.main(j)
+		} else {
+			e.t.guard(j.chunkAt(n))
+			e.n++
 		}
 	}
-	return len(seen)
+	return ch
+}
+
+// cost is how many changes opening a chunk adds.
+func (e *edit) cost(j *liveJob, n int) int {
+	uid := j.main.Run.UID
+	if e.chunks[chunkID{uid, n}] != nil || j.main.Inner && e.mains[uid] != nil {
+		return 0
+	}
+	return 1
 }
 
-func chunkKey(uid string, n int) string { return taskKey + uid + "/" + strconv.Itoa(n) }
+// done moves a job to the past.
+func (e *edit) done(j *liveJob, p job.Past) {
+	uid := j.main.Run.UID
+	e.main(j)
+	e.mains[uid] = nil
+	e.t.drop(jobKey + uid)
+	e.t.guard(pastKey+uid, 0)
+	e.t.write(pastKey+uid, p)
+	e.n++
+}
 
-// releaseRound commits ended attempts of one own part and the room they free.
-func (c *Controller) releaseRound(ctx context.Context) bool {
-	now := c.now()
-	c.mu.Lock()
-	for _, p := range c.parts {
-		if c.owned(p) == nil || c.m.parts[p].v == nil {
-			continue
+// txn puts the changes into the transaction.
+func (e *edit) txn() *txn {
+	for id, ch := range e.chunks {
+		j, m := e.jobs[id.uid], e.mains[id.uid]
+		switch {
+		case j.main.Inner:
+			if m != nil { // not moved to the past
+				m.Only = ch
+			}
+		case e.drops[id]:
+			e.t.drop(taskKey + id.uid + "/" + strconv.Itoa(id.n))
+		default:
+			e.t.write(taskKey+id.uid+"/"+strconv.Itoa(id.n), ch)
 		}
-		if t := c.releaseTxn(p, now); t != nil {
-			c.mu.Unlock()
-			done, _, err := c.commit(ctx, t, store.Decision)
-			return done || err == nil
+	}
+	for uid, m := range e.mains {
+		if m != nil {
+			e.t.write(jobKey+uid, m)
 		}
 	}
-	c.mu.Unlock()
-	return false
+	return e.t
+}
+
+// full tells whether more changes, besides so many others, would pass the
+// limits of a transaction.
+func (e *edit) full(more, others int) bool {
+	const guards, bytes = 4, 48 << 10 // of PROTOCOL's 4 guards for each change and 64 KiB
+	f := &e.c.cfg.Facts.State
+	each := 512.0 // bytes of a change and its guard, records aside
+	size := 0.0
+	for id, ch := range e.chunks {
+		size += float64(64*len(ch.Places) + len(ch.Bits))
+		if e.jobs[id.uid].main.Inner {
+			size += 768
+		}
+	}
+	return e.n+more+others > e.most || len(e.t.guards)+2*more+others > guards*f.TxnOps ||
+		size+each*float64(e.n+more)+f.ValueKB*1024*float64(min(others, 2)) > bytes
+}
+
+// ending is an attempt that is over.
+type ending struct {
+	pl  *placed
+	rel part.Release
 }
 
-// releaseTxn collects the releases of a part. Call with the lock held.
-func (c *Controller) releaseTxn(p string, now time.Time) *txn {
-	type chunkID struct {
-		uid string
-		n   int
+// over tells whether a placed task has completed, though that need not be
+// committed yet: its room is free, and its end is recorded with others to save
+// changes. Call with the lock held.
+func (c *Controller) over(host, id string, pl *placed) bool {
+	s := c.sessions[host]
+	if s == nil {
+		return false
 	}
-	type ending struct {
-		pl  *placed
-		rel part.Release
+	r, ok := s.Releases[id]
+	return ok && r.Done && r.Try == pl.p.Try
+}
+
+// busy counts the tasks on a machine that are not over. Call with the lock held.
+func (c *Controller) busy(host string) int {
+	n := 0
+	for id, pl := range c.m.onHost[host] {
+		if !c.over(host, id, pl) {
+			n++
+		}
 	}
+	return n
+}
+
+// endings looks over the machines of own parts and collects the attempts that
+// are over, by chunk. Call with the lock held.
+func (c *Controller) endings(now time.Time) map[chunkID][]ending {
 	chunks := map[chunkID][]ending{}
+	bound := c.cfg.LeaseBound()
 	for host, m := range c.m.hosts {
-		if m.v.Part != p {
+		o := c.owned(m.Part)
+		if o == nil || c.m.parts[m.Part].v == nil {
 			continue
 		}
-		s := c.sessions[host]
-		if s == nil {
-			s = c.session(host, c.owned(p))
-		}
+		s := c.session(host, o)
 		on := c.m.onHost[host]
 		for id := range s.Started {
 			if on[id] == nil {
 				delete(s.Started, id)
 			}
 		}
+		for id := range s.Sent {
+			if on[id] == nil {
+				delete(s.Sent, id)
+			}
+		}
 		for id, r := range s.Releases {
 			if pl := on[id]; pl == nil || pl.p.Try != r.Try {
 				delete(s.Releases, id) // committed
 			}
 		}
-		dead := s.Dead(now, c.cfg.LeaseBound())
+		dead := s.Dead(now, bound)
 		if dead && !s.Dark {
 			s.Dark = true
 			if len(on) > 0 {
@@ -186,7 +341,7 @@
 		}
 		for id, pl := range on {
 			if _, ok := s.Releases[id]; !ok && dead {
-				s.Releases[id] = part.Release{Try: pl.p.Try}
+				s.Releases[id] = part.Release{Try: pl.p.Try, At: now}
 			}
 			if r, ok := s.Releases[id]; ok && c.m.jobs[pl.uid] != nil {
 				k := chunkID{pl.uid, pl.chunk}
@@ -194,18 +349,51 @@
 			}
 		}
 	}
-	if len(chunks) == 0 {
-		return nil
+	return chunks
+}
+
+// due tells whether the ends of tasks of a chunk are to be committed now. A task
+// that completed while others of its chunk run on can wait for them, unless its
+// machine is to go or its team is near its limit; one that has to run again can
+// not, nor can the last one of a chunk. Call with the lock held.
+func (c *Controller) due(k chunkID, ends []ending, now time.Time) bool {
+	j := c.m.jobs[k.uid]
+	ch := j.chunks[k.n].v
+	if ch == nil {
+		return false
 	}
-	t := newTxn()
-	if !c.guardOwn(t, p) {
-		return nil
+	if len(ends) == len(ch.Places) && (j.main.Gone || ch.DoneCount()+len(ends) >= j.main.ChunkLen(k.n)) {
+		return true
+	}
+	if j.main.Gone {
+		return now.Sub(ends[0].rel.At) > c.cfg.Lease()/2
+	}
+	team, _ := c.cfg.Team(j.main.Run.Owner)
+	for _, e := range ends {
+		s := c.sessions[e.pl.p.Host]
+		if !e.rel.Done || s == nil || s.Drain || s.Gone || now.Sub(e.rel.At) > c.cfg.Lease()/2 {
+			return true
+		}
+	}
+	if team.Limited() {
+		held, others := c.shareOf(team.Name, "")
+		limit, all := limitOf(team), held.Add(others)
+		return limit.CPUs > 0 && all.CPUs > limit.CPUs*3/4 || limit.GPUs > 0 && all.GPUs > limit.GPUs*3/4
 	}
-	keys := make([]chunkID, 0, len(chunks))
-	for k := range chunks {
-		keys = append(keys, k)
+	return false
+}
+
+// releaseRound commits ended attempts. The room they free shows in the parts'
+// records with the next write of those.
+func (c *Controller) releaseRound(ctx context.Context) bool {
+	now := c.now()
+	c.mu.Lock()
+	e := c.edit()
+	for p := range c.mine {
+		c.guardOwn(e.t, p)
 	}
-	slices.SortFunc(keys, func(a, b chunkID) int { // jobs that may be complete first
+	chunks := c.endings(now)
+	keys := slices.SortedFunc(maps.Keys(chunks), func(a, b chunkID) int { // jobs that may be complete first
 		if a.uid != b.uid {
 			if a.uid < b.uid {
 				return -1
@@ -214,72 +402,49 @@
 		}
 		return a.n - b.n
 	})
-	free := c.freeOf(p, now)
-	freed := map[string]sched.Room{}
-	mains := map[string]*job.Main{}
-	uids := map[string]bool{}
-	cost, taken := 1, 0
+	more := false
 	for _, k := range keys {
+		ends := chunks[k]
+		if !c.due(k, ends, now) {
+			continue
+		}
+		if e.full(3, 0) {
+			more = true // the rest goes into the next transaction
+			break
+		}
 		j := c.m.jobs[k.uid]
-		old := j.chunks[k.n]
-		ch := old.v.Copy()
 		r := &j.main.Run
-		for _, e := range chunks[k] {
-			ch.End(e.pl.index, e.rel.Try, e.rel.Done && r.Shape == api.Sweep, e.rel.Failed)
-		}
-		complete := r.Shape == api.Sweep && !j.main.Gone && ch.DoneCount() == j.main.ChunkLen(k.n)
-		uids[k.uid] = true
-		add := 1
-		if complete {
-			add = 3
-		}
-		if cost+add+c.limitedTeams(uids) > c.cfg.Facts.State.TxnOps {
-			break // the rest goes into the next transaction
-		}
-		cost += add
-		taken++
-		for _, e := range chunks[k] {
-			n := need(r)
-			freed[r.Owner] = freed[r.Owner].Sub(n)
-			if f, ok := free[e.pl.p.Host]; ok {
-				free[e.pl.p.Host] = f.Add(n)
-			}
+		ch := e.chunk(j, k.n)
+		for _, x := range ends {
+			ch.End(x.pl.index, x.rel.Try, x.rel.Done && r.Shape == api.Sweep, x.rel.Failed)
 		}
-		t.guard(chunkKey(k.uid, k.n), old.stamp)
-		if !complete {
-			t.write(chunkKey(k.uid, k.n), ch)
+		if r.Shape != api.Sweep || j.main.Gone || ch.DoneCount() < j.main.ChunkLen(k.n) {
 			continue
 		}
-		m := mains[k.uid]
-		if m == nil {
-			m = j.main.Copy()
-			mains[k.uid] = m
-		}
+		m := e.main(j)
 		m.Finish(k.n)
-		t.drop(chunkKey(k.uid, k.n))
-		t.guard(jobKey+k.uid, j.stamp)
+		e.drops[k] = true
 		if m.Complete() {
-			t.drop(jobKey + k.uid)
-			t.guard(pastKey+k.uid, 0)
-			t.write(pastKey+k.uid, job.Past{Phase: api.Done, Done: r.Pieces})
+			e.done(j, job.Past{Phase: api.Done, Done: r.Pieces})
 			c.log.Info("job done", "job", k.uid)
-		} else {
-			t.write(jobKey+k.uid, m)
 		}
 	}
-	c.writePart(t, p, free)
-	c.writeTeams(t, p, freed)
-	if taken == 0 {
-		return nil
+	n := e.n
+	t := e.txn()
+	c.mu.Unlock()
+	if n == 0 {
+		return false
 	}
-	return t
+	done, _, err := c.commit(ctx, "ends", t, store.Decision)
+	return more && (done || err == nil)
 }
 
-// retireRound moves one withdrawn job without tasks on machines to the past.
+// retireRound moves withdrawn jobs without tasks on machines to the past.
 func (c *Controller) retireRound(ctx context.Context) bool {
 	c.mu.Lock()
+	e := c.edit()
 	for uid, j := range c.m.jobs {
-		if !j.main.Gone || c.owned(j.main.Part) == nil {
+		if !j.main.Gone || c.owned(j.main.Part) == nil || e.full(4, 0) {
 			continue
 		}
 		on, done := 0, j.main.FinishedTasks()
@@ -292,185 +457,306 @@
 		if on > 0 {
 			continue
 		}
-		t := newTxn()
-		c.guardOwn(t, j.main.Part)
-		t.guard(jobKey+uid, j.stamp)
-		// No start can come between: it would need the job not withdrawn.
-		for n, ch := range j.chunks {
-			if t.ops() == c.cfg.Facts.State.TxnOps-2 {
-				break
+		c.guardOwn(e.t, j.main.Part)
+		all := true
+		if !j.main.Inner {
+			for n := range j.chunks {
+				if e.full(4, 0) {
+					all = false
+					break
+				}
+				e.chunk(j, n)
+				e.drops[chunkID{uid, n}] = true
 			}
-			t.guard(chunkKey(uid, n), ch.stamp)
-			t.drop(chunkKey(uid, n))
 		}
-		if t.ops() == len(j.chunks) {
-			t.drop(jobKey + uid)
-			t.write(pastKey+uid, job.Past{Phase: api.Withdrawn, Done: done})
+		// No start can come between: it would need the job not withdrawn.
+		if all {
+			e.done(j, job.Past{Phase: api.Withdrawn, Done: done})
 		}
-		c.mu.Unlock()
-		ok, _, _ := c.commit(ctx, t, store.Decision)
-		return ok
 	}
+	n := e.n
+	t := e.txn()
 	c.mu.Unlock()
-	return false
+	if n == 0 {
+		return false
+	}
+	ok, _, _ := c.commit(ctx, "withdrawn", t, store.Decision)
+	return ok
 }
 
-// placeRound commits placements into one part: own ones, or claims on a peer's
-// room by conditional write on its free-room record.
+// placeRound commits what one plan places: own placements, and claims on peers'
+// room by conditional write on their parts' free-room records. What comes
+// together goes into one transaction, so that a job whose tasks go to several
+// parts is written once. Then it marks what the plan stops.
 func (c *Controller) placeRound(ctx context.Context) bool {
-	now := c.now()
 	c.mu.Lock()
-	pl := c.plan(now)
-	if len(pl.places) == 0 {
+	pl := c.plan(c.now())
+	c.mu.Unlock()
+	todo := pl.places
+	for tries := 0; len(todo) > 0 && tries < 3; {
+		// Every placement in a part changes its record. Looking at the newest
+		// one first costs a request, being overtaken costs all changes.
+		room := c.store.Ready(ctx, min(jobsOf(todo)+len(c.parts), c.cfg.Facts.State.TxnOps), store.Decision)
+		if room < 2 || !c.acting() || c.fresh(ctx) != nil {
+			return false
+		}
+		c.mu.Lock()
+		t, rest, said := c.placeTxn(todo, room, c.now())
 		c.mu.Unlock()
-		return false
+		if t == nil {
+			break
+		}
+		done, _, err := c.commit(ctx, "places", t, store.Decision)
+		switch {
+		case done:
+			todo, tries = rest, 0
+			for _, l := range said {
+				c.log.Info("task placed", l...)
+			}
+		case err == nil: // overtaken: what lost is tried again on what there is now
+			tries++
+		default:
+			return false
+		}
 	}
-	target := pl.places[0].host.Part
-	t := newTxn()
-	rec := c.m.parts[target]
-	free := map[string]sched.Room{}
-	if c.owned(target) != nil {
-		free = c.freeOf(target, now)
-	} else {
-		for h, v := range rec.v.Free {
-			free[h] = part.Unvec(v)
-		}
-	}
-	chunks := map[string]*job.Chunk{}
-	uids := map[string]bool{}
-	used := map[string]sched.Room{}
-	var said [][]any
-	cost := 1
-	for _, x := range pl.places {
-		if x.host.Part != target {
+	if len(pl.stops) > 0 {
+		c.stop(ctx, pl.stops)
+	}
+	return false
+}
+
+// jobsOf counts the jobs of placements.
+func jobsOf(l []placement) int {
+	seen := map[string]bool{}
+	for _, x := range l {
+		seen[x.uid] = true
+	}
+	return len(seen)
+}
+
+// claim is what a transaction takes of a part's room.
+type claim struct {
+	free   part.Free
+	use    map[string][3]float64
+	shares map[string]sched.Room
+}
+
+// claimOn opens a part for placements: an own one with its room as it is, a
+// peer's as its record says. Call with the lock held.
+func (c *Controller) claimOn(p string, now time.Time) *claim {
+	rec := c.m.parts[p]
+	if rec.v == nil || c.m.owns[p].v == nil {
+		return nil
+	}
+	x := &claim{free: part.Free{}, shares: map[string]sched.Room{}}
+	if c.owned(p) != nil {
+		for h, r := range c.freeOf(p, now) {
+			x.free[h] = part.Vec(r)
+		}
+		x.use = c.useOf(p)
+		return x
+	}
+	maps.Copy(x.free, rec.v.Free)
+	x.use = map[string][3]float64{}
+	maps.Copy(x.use, rec.v.Use)
+	return x
+}
+
+// placeTxn commits as many placements as a transaction and the budget take. The
+// plan may be older than the mirror, so each is looked at again. Call with the
+// lock held.
+func (c *Controller) placeTxn(todo []placement, room int, now time.Time) (t *txn, rest []placement, said [][]any) {
+	e := c.edit()
+	e.most = min(e.most, room)
+	claims := map[string]*claim{}
+	zs := map[string]*zones{}
+	others := 0 // changes of other records than jobs'
+	for i, x := range todo {
+		j := c.m.jobs[x.uid]
+		if j == nil || j.main.Gone || j.main.Finished(x.chunk) {
 			continue
 		}
-		r := &x.j.main.Run
-		key := chunkKey(r.UID, x.chunk)
-		ch := chunks[key]
-		pin := r.Together && x.j.main.Zone == "" && !uids[r.UID]
-		if ch == nil {
-			fresh := !uids[r.UID]
-			uids[r.UID] = true
-			add := 1
-			if pin {
-				add++
-			}
-			if cost+add+c.limitedTeams(uids) > c.cfg.Facts.State.TxnOps {
-				if fresh {
-					delete(uids, r.UID)
-				}
-				break
-			}
-			if !c.guardOwn(t, x.j.main.Part) {
+		old := j.chunks[x.chunk].v
+		if old.PlaceOf(x.index) != nil || old.Done(x.index) {
+			continue
+		}
+		p := x.host.Part
+		cl, more := claims[p], 0
+		if cl == nil {
+			if cl = c.claimOn(p, now); cl == nil {
 				continue
 			}
-			cost += add
-			old := x.j.chunks[x.chunk]
-			ch = old.v.Copy()
-			chunks[key] = ch
-			t.guard(key, old.stamp)
-			t.guard(jobKey+r.UID, x.j.stamp)
-			if pin {
-				m := x.j.main.Copy()
-				m.Zone = x.host.Site
-				t.write(jobKey+r.UID, m)
-			}
+			more++
 		}
+		r := &j.main.Run
 		n := need(r)
-		f, ok := free[x.host.Name]
-		if !ok || !f.Fits(n) {
+		f, ok := cl.free[x.host.Name]
+		if !ok || !part.Unvec(f).Fits(n) {
 			continue // the record has moved on
 		}
-		free[x.host.Name] = f.Sub(n)
-		used[r.Owner] = used[r.Owner].Add(n)
-		try := ch.Put(x.index, x.host.Name, max(0, (now.UnixMilli()-x.j.main.AtMS)/1000))
-		said = append(said, []any{"task", api.PieceName(r.UID, x.chunk*x.j.main.Chunk+x.index), "try", try, "host", x.host.Name, "part", target, "own", target == x.j.main.Part})
+		z := zs[x.uid]
+		if z == nil {
+			z = c.zonesOf(j)
+			zs[x.uid] = z
+		}
+		if !z.ok(x.chunk, x.host.Site) {
+			continue
+		}
+		share, grown, ok := c.share(r.Owner, p, part.Unvec(cl.use[r.Owner]).Add(n), cl.shares, claims)
+		if !ok {
+			continue // the team's limit
+		}
+		pin := r.Together && j.main.Zone == ""
+		more += e.cost(j, x.chunk)
+		if pin {
+			more++
+		}
+		if grown {
+			more++
+		}
+		if more > 0 && e.full(more, others) {
+			rest = append(rest, todo[i:]...)
+			break
+		}
+		if !c.guardOwn(e.t, j.main.Part) {
+			continue
+		}
+		if claims[p] == nil {
+			claims[p] = cl
+			others++
+		}
+		e.t.guard(jobKey+r.UID, j.stamp)
+		ch := e.chunk(j, x.chunk)
+		if pin {
+			e.main(j).Zone = x.host.Site
+		}
+		if team, _ := c.cfg.Team(r.Owner); team.Limited() {
+			cl.use[r.Owner] = part.Vec(part.Unvec(cl.use[r.Owner]).Add(n))
+			if grown {
+				cl.shares[r.Owner] = share
+				others++
+			}
+		}
+		cl.free[x.host.Name] = part.Vec(part.Unvec(f).Sub(n))
+		z.add(x.chunk, x.host.Site)
+		try := ch.Put(x.index, x.host.Name, max(0, (now.UnixMilli()-j.main.AtMS)/1000))
+		said = append(said, []any{"task", api.PieceName(r.UID, x.chunk*j.main.Chunk+x.index), "try", try, "host", x.host.Name, "part", p, "own", p == j.main.Part})
 	}
-	for key, ch := range chunks {
-		t.write(key, ch)
+	if len(said) == 0 {
+		return nil, nil, nil
 	}
-	if len(used) == 0 {
-		c.mu.Unlock()
-		return false
+	t = e.txn()
+	shares := map[string]map[string]sched.Room{}
+	for p, cl := range claims {
+		c.writePart(t, p, cl.free, cl.use)
+		shares[p] = cl.shares
 	}
-	c.writePart(t, target, free)
-	c.writeTeams(t, target, used)
-	c.mu.Unlock()
-	done, _, err := c.commit(ctx, t, store.Decision)
-	if done {
-		for _, l := range said {
-			c.log.Info("task placed", l...)
+	c.writeShares(t, shares)
+	return t, rest, said
+}
+
+// share tells whether a team may use so much in a part, by the share of its
+// limit that the part holds, or will hold after growing it; with other parts'
+// growth in the same transaction. Call with the lock held.
+func (c *Controller) share(team, p string, use sched.Room, grown map[string]sched.Room, claims map[string]*claim) (sched.Room, bool, bool) {
+	x, _ := c.cfg.Team(team)
+	if !x.Limited() {
+		return sched.Room{}, false, true
+	}
+	held, others := c.shareOf(team, p)
+	for q, cl := range claims {
+		if g, ok := cl.shares[team]; ok && q != p {
+			was, _ := c.shareOf(team, q)
+			others = others.Add(g).Sub(was)
 		}
 	}
-	return done || err == nil
+	if g, ok := grown[team]; ok {
+		held = g
+	}
+	if sched.Within(limitOf(x), held, use) {
+		return held, false, true
+	}
+	more, ok := sched.Share(limitOf(x), others, use)
+	return more, true, ok
 }
 
-// stopRound marks the tasks that have to leave their machines for others. The
-// owner of the machine's part sees the mark and stops them.
-func (c *Controller) stopRound(ctx context.Context) bool {
-	now := c.now()
-	c.mu.Lock()
-	pl := c.plan(now)
-	if len(pl.stops) == 0 {
-		c.mu.Unlock()
-		return false
+// stop marks tasks that have to leave their machines for others. The owner of
+// the machine's part sees the mark and stops them.
+func (c *Controller) stop(ctx context.Context, stops []*placed) {
+	if c.fresh(ctx) != nil {
+		return
 	}
-	t := newTxn()
+	c.mu.Lock()
+	e := c.edit()
 	for p := range c.mine {
-		c.guardOwn(t, p)
+		c.guardOwn(e.t, p)
 	}
-	chunks := map[string]*job.Chunk{}
 	var said [][]any
-	for _, x := range pl.stops {
-		key := chunkKey(x.uid, x.chunk)
-		if chunks[key] == nil {
-			if len(chunks) == c.cfg.Facts.State.TxnOps {
-				break
-			}
-			old := c.m.jobs[x.uid].chunks[x.chunk]
-			t.guard(key, old.stamp)
-			chunks[key] = old.v.Copy()
+	for _, x := range stops {
+		j := c.m.jobs[x.uid]
+		if j == nil {
+			continue
 		}
-		chunks[key].Places[x.index].Stop = true
+		if p := j.chunks[x.chunk].v.PlaceOf(x.index); p == nil || p.Try != x.p.Try || p.Stop {
+			continue
+		}
+		if e.full(e.cost(j, x.chunk), 0) {
+			break
+		}
+		e.chunk(j, x.chunk).Places[x.index].Stop = true
 		said = append(said, []any{"job", x.uid, "task", x.index, "host", x.p.Host, "why", "preempted"})
 	}
-	for key, ch := range chunks {
-		t.write(key, ch)
-	}
+	t := e.txn()
 	c.mu.Unlock()
-	done, _, _ := c.commit(ctx, t, store.Decision)
-	if done {
+	if len(said) == 0 {
+		return
+	}
+	if done, _, _ := c.commit(ctx, "stops", t, store.Decision); done {
 		for _, l := range said {
 			c.log.Info("task is to leave", l...)
 		}
 	}
-	return done
 }
 
-// upkeepRound writes an own part's record when its machines have changed.
+// upkeepRound writes an own part's record when its machines or their room have
+// changed, at intervals: placements there write it anyway.
 func (c *Controller) upkeepRound(ctx context.Context) bool {
 	now := c.now()
 	c.mu.Lock()
-	for p := range c.mine {
+	for p, o := range c.mine {
 		rec := c.m.parts[p]
-		if c.owned(p) == nil || rec.v == nil || len(c.flavors) == 0 {
+		if c.owned(p) == nil || rec.v == nil || len(c.flavors) == 0 || now.Sub(o.kept) < 6*c.cfg.Pause() {
 			continue
 		}
-		free := c.freeOf(p, now)
-		same := len(free) == len(rec.v.Free) && (!rec.v.Doubt || !now.After(c.mine[p].answered))
-		for h, r := range free {
-			v, ok := rec.v.Free[h]
-			same = same && ok && part.Unvec(v).Near(r)
+		free := part.Free{}
+		for h, r := range c.freeOf(p, now) {
+			free[h] = part.Vec(r)
+		}
+		use := c.useOf(p)
+		shares := map[string]sched.Room{}
+		for _, team := range c.cfg.Facts.Teams {
+			held, others := c.shareOf(team.Name, p)
+			if u := part.Unvec(use[team.Name]); team.Limited() && sched.Excess(limitOf(team), others, held, u) {
+				if less, ok := sched.Share(limitOf(team), others, u); ok {
+					shares[team.Name] = less
+				}
+			}
 		}
-		if same {
+		out := free
+		if len(rec.v.Free) < len(free) { // as it would be recorded
+			out = maps.Clone(free)
+			out.Trim(c.valueRoom() - 128*len(use))
+		}
+		if maps.Equal(out, rec.v.Free) && maps.Equal(use, rec.v.Use) && len(shares) == 0 && (!rec.v.Doubt || !now.After(o.answered)) {
 			continue
 		}
+		o.kept = now
 		t := newTxn()
 		c.guardOwn(t, p)
-		c.writePart(t, p, free)
+		c.writePart(t, p, free, use)
+		c.writeShares(t, map[string]map[string]sched.Room{p: shares})
 		c.mu.Unlock()
-		done, _, _ := c.commit(ctx, t, store.Decision)
+		done, _, _ := c.commit(ctx, "upkeep", t, store.Decision)
 		return done
 	}
 	c.mu.Unlock()
@@ -478,51 +764,69 @@
 }
 
 // recordStrangers records machines that reported or were rented or listed
-// without a record, each in one part, by a conditional write.
+// without a record, each in one part, by conditional writes of their pages.
 func (c *Controller) recordStrangers(ctx context.Context) bool {
 	c.mu.Lock()
 	t := newTxn()
+	pages := map[string]part.Page{}
 	var names []string
-	for host, m := range c.adopt {
-		if c.m.hosts[host].v != nil {
+	count := map[string]int{}
+	for _, m := range c.m.hosts {
+		count[m.Part]++
+	}
+	for _, host := range slices.Sorted(maps.Keys(c.adopt)) {
+		m := c.adopt[host]
+		if c.m.hosts[host] != nil || c.m.gone[host] {
 			delete(c.adopt, host)
 			continue
 		}
-		if len(names) == c.cfg.Facts.State.TxnOps {
-			break
+		id := c.pageOf(host)
+		page, open := pages[id]
+		if !open {
+			if len(pages) == c.cfg.Facts.State.TxnOps || len(pages) > 0 && (len(pages)+1)*int(c.cfg.Facts.State.ValueKB*1024) > 60<<10 {
+				break
+			}
+			page = part.Page{}
+			if old := c.m.pages[id].v; old != nil {
+				maps.Copy(page, *old)
+			}
 		}
-		m.Part = c.partFor(m.Site, names)
+		m.Part = c.partFor(m.Site, count)
 		m.AtMS = c.now().UnixMilli()
-		t.guard(hostKey+host, 0)
-		t.write(hostKey+host, m)
+		page[host] = &m
+		if size := len(api.JSON(page)); size > c.valueRoom() {
+			c.log.Error("machine can't be recorded", "host", host, "why", "its page is full", "bytes", size)
+			delete(page, host)
+			delete(c.adopt, host)
+			continue
+		}
+		pages[id] = page
+		count[m.Part]++
 		names = append(names, host)
 	}
+	for id, page := range pages {
+		t.guard(pageKey+id, c.m.pages[id].stamp)
+		t.write(pageKey+id, page)
+	}
 	c.mu.Unlock()
 	if len(names) == 0 {
 		return false
 	}
-	done, failed, err := c.commit(ctx, t, store.Decision)
+	done, _, err := c.commit(ctx, "machines", t, store.Decision)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if done {
 		c.log.Info("machines recorded", "hosts", names)
-	}
-	for _, h := range names {
-		if done || err == nil && contains(failed, hostKey+h) {
+		for _, h := range names {
 			delete(c.adopt, h)
 		}
 	}
-	return done
+	return (done || err == nil) && len(c.adopt) > 0
 }
 
 // partFor chooses the part for a machine: one whose home controller is in the
 // machine's zone, so that a zone cut off keeps its owner; of those the smallest.
-// Call with the lock held.
-func (c *Controller) partFor(site string, also []string) string {
-	count := map[string]int{}
-	for _, m := range c.m.hosts {
-		count[m.v.Part]++
-	}
+func (c *Controller) partFor(site string, count map[string]int) string {
 	zone := map[string]string{c.cfg.HostName: c.cfg.Site}
 	for _, m := range c.cfg.Members {
 		zone[m.HostName] = m.Site
@@ -533,59 +837,69 @@
 		if zone[p] != site {
 			n += 1 << 20
 		}
-		if n >= c.partRoom() {
-			n += 1 << 22
-		}
 		if best == "" || n < bestN {
 			best, bestN = p, n
 		}
 	}
-	if len(also) > 0 { // several at once go to the parts of the zone in turn
-		var same []string
-		for _, p := range c.parts {
-			if zone[p] == site {
-				same = append(same, p)
-			}
-		}
-		if len(same) > 0 {
-			return same[len(also)%len(same)]
-		}
-	}
 	return best
 }
 
-// partRoom is the number of machines whose room fits a part's record.
-func (c *Controller) partRoom() int {
-	const entry = 64 // bytes of one machine's room at most
-	return int(c.cfg.Facts.State.ValueKB * 1024 * 7 / 8 / entry)
-}
-
-// forgetRound drops the record of a machine that is gone and empty.
+// forgetRound drops machines that are gone and empty from their pages: several
+// at once, now and then, since nothing waits for it.
 func (c *Controller) forgetRound(ctx context.Context) bool {
+	now := c.now()
 	c.mu.Lock()
+	if now.Sub(c.forgotAt) < c.cfg.Lease()/4 {
+		c.mu.Unlock()
+		return false
+	}
+	t := newTxn()
+	pages := map[string]part.Page{}
+	var names []string
 	for host, s := range c.sessions {
 		m := c.m.hosts[host]
-		if !s.Gone || m.v == nil || c.owned(m.v.Part) == nil || len(c.m.onHost[host]) > 0 {
+		if !s.Gone || m == nil || c.owned(m.Part) == nil || len(c.m.onHost[host]) > 0 {
 			continue
 		}
-		if _, in := c.m.parts[m.v.Part].v.Free[host]; in {
+		if _, in := c.m.parts[m.Part].v.Free[host]; in {
 			continue // upkeep comes first: no thief may still put a task there
 		}
-		t := newTxn()
-		c.guardOwn(t, m.v.Part)
-		t.guard(hostKey+host, m.stamp)
-		t.guard(partKey+m.v.Part, c.m.parts[m.v.Part].stamp)
-		t.drop(hostKey + host)
-		c.mu.Unlock()
-		done, _, _ := c.commit(ctx, t, store.Decision)
-		if done {
-			c.mu.Lock()
-			delete(c.sessions, host)
-			c.mu.Unlock()
-			c.log.Info("machine forgotten", "host", host)
+		id := c.pageOf(host)
+		page, open := pages[id]
+		if !open {
+			if len(pages) == c.cfg.Facts.State.TxnOps/2 || len(pages) > 0 && (len(pages)+1)*int(c.cfg.Facts.State.ValueKB*1024) > 60<<10 {
+				continue
+			}
+			page = maps.Clone(*c.m.pages[id].v)
+			pages[id] = page
+		}
+		c.guardOwn(t, m.Part)
+		t.guard(partKey+m.Part, c.m.parts[m.Part].stamp)
+		delete(page, host)
+		names = append(names, host)
+	}
+	for id, page := range pages {
+		t.guard(pageKey+id, c.m.pages[id].stamp)
+		if len(page) == 0 {
+			t.drop(pageKey + id)
+		} else {
+			t.write(pageKey+id, page)
 		}
-		return done
 	}
 	c.mu.Unlock()
+	if len(names) == 0 {
+		return false
+	}
+	done, _, _ := c.commit(ctx, "forgotten", t, store.Decision)
+	if done {
+		slices.Sort(names)
+		c.mu.Lock()
+		c.forgotAt = now
+		for _, h := range names {
+			delete(c.sessions, h)
+		}
+		c.mu.Unlock()
+		c.log.Info("machines forgotten", "hosts", names)
+	}
 	return false
 }
--- a/internal/controller/found_test.go
+++ b/internal/controller/found_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"violetturn/internal/api"
+	"violetturn/internal/config"
+	"violetturn/internal/job"
+	"violetturn/internal/part"
 	"violetturn/internal/standin"
 )
 
@@ -311,9 +314,9 @@
 		x := s.w.Cloud.Hosts[h]
 		for i, n := range s.nodes {
 			status, _, steward := s.deliver(i, api.JSON(x.Report()))
-			switch own := n.name == m.v.Part; {
-			case own && status != 200, !own && (status != 421 || steward != m.v.Part):
-				t.Errorf("%s of part %s at %s: %d %q", h, m.v.Part, n.name, status, steward)
+			switch own := n.name == m.Part; {
+			case own && status != 200, !own && (status != 421 || steward != m.Part):
+				t.Errorf("%s of part %s at %s: %d %q", h, m.Part, n.name, status, steward)
 			}
 		}
 	}
@@ -338,14 +341,14 @@
 	s.rounds(t, 60, "array done", s.done(id))
 	host := s.w.Cloud.Names()[0]
 	late := api.JSON(s.w.Cloud.Hosts[host].Report())
-	s.rounds(t, 60, "machine returned and forgotten", func() bool { return s.w.Cloud.Hosts[host] == nil && s.nodes[0].c.m.hosts[host].v == nil })
+	s.rounds(t, 60, "machine returned and forgotten", func() bool { return s.w.Cloud.Hosts[host] == nil && s.nodes[0].c.m.hosts[host] == nil })
 	for range 20 {
 		for i := range s.nodes {
 			s.deliver(i, late)
 		}
 		s.round()
 		for _, n := range s.nodes {
-			if n.c.m.hosts[host].v != nil {
+			if n.c.m.hosts[host] != nil {
 				t.Fatal("recorded again")
 			}
 		}
@@ -360,7 +363,7 @@
 	s.rounds(t, 20, "machine known", func() bool { return len(s.nodes[0].c.m.hosts) > 0 })
 	home := 0
 	for _, m := range s.nodes[0].c.m.hosts {
-		home = int(m.v.Part[1] - '0')
+		home = int(m.Part[1] - '0')
 	}
 	s.w.Store.Refuse[s.nodes[home].name] = true // before the machine is up
 	s.rounds(t, 60, "replica runs", func() bool { return s.running(id) == 1 })
@@ -428,10 +431,288 @@
 	for range 90 { // long enough for any boot
 		s.round()
 	}
-	home := int(s.nodes[0].c.m.hosts[host].v.Part[1] - '0')
+	home := int(s.nodes[0].c.m.hosts[host].Part[1] - '0')
 	s.w.Cloud.Hosts[host].Cut = true
 	s.w.Store.Refuse[s.nodes[home].name] = true
 	cfg := s.nodes[0].c.cfg
 	bound := cfg.Grace() + cfg.LeaseBound() + 2*cfg.HoldTTL() + 2*time.Second // its task is surely dead then
 	s.rounds(t, int(bound/(500*time.Millisecond)), "machine returned", func() bool { return s.w.Cloud.Hosts[host] == nil })
 }
+
+// hostsOf names the machines that a job's tasks run on.
+func (s *sim) hostsOf(id string) map[string]int {
+	on := map[string]int{}
+	for h, x := range s.w.Cloud.Hosts {
+		for _, p := range x.Report().Pieces {
+			if uid, _, _ := api.SplitPiece(p.Piece); uid == id && p.Phase == api.Running {
+				on[h]++
+			}
+		}
+	}
+	return on
+}
+
+// A machine whose reports arrive while answers and commands don't reach it lets
+// its lease run out again and again. It was answered, so it once counted as
+// alive for ever: its tasks waited there and were launched with each answer. Now
+// its sessions show that it doesn't hear, its tasks go elsewhere, and it takes no
+// more until it obeys; also when its part has changed hands meanwhile.
+func TestOneWayMachine(t *testing.T) {
+	for _, handover := range []bool{false, true} {
+		s := warmSim()
+		id := s.job(func(r *api.Run, _ *time.Duration) { r.Shape, r.Pieces = api.Daemon, 2 })
+		s.rounds(t, 60, "replicas run", func() bool { return s.running(id) == 2 })
+		var deaf *standin.Worker
+		for h := range s.hostsOf(id) {
+			deaf = s.w.Cloud.Hosts[h]
+		}
+		deaf.Deaf = true
+		if handover {
+			s.start(int(s.nodes[0].c.m.hosts[deaf.Host].Part[1] - '0'))
+		}
+		elsewhere := func() bool {
+			on := s.hostsOf(id)
+			return on[deaf.Host] == 0 && s.running(id) == 2
+		}
+		lease := int(s.w.Lease / (500 * time.Millisecond))
+		s.rounds(t, 4*lease, "replicas run elsewhere", elsewhere)
+		if s.w.Cloud.Hosts[deaf.Host] == nil {
+			continue // it was returned as idle, which is as good
+		}
+		more := s.job(func(r *api.Run, d *time.Duration) { r.Pieces, *d = 4, time.Second })
+		s.rounds(t, 100, "other work done", s.done(more))
+		if !elsewhere() {
+			t.Fatal("a replica is back")
+		}
+	}
+}
+
+// Copies of reports that come late change no belief: not that a machine lives
+// that was lost, and not, for a controller that has just started and remembers
+// nothing, that one exists which is long gone.
+func TestLateCopies(t *testing.T) {
+	s := warmSim()
+	id := s.job(func(r *api.Run, _ *time.Duration) { r.Shape, r.Pieces = api.Daemon, 2 })
+	s.rounds(t, 60, "replicas run", func() bool { return s.running(id) == 2 })
+	var host string
+	for h := range s.hostsOf(id) {
+		host = h
+	}
+	var copies [][]byte
+	for range 8 {
+		copies = append(copies, api.JSON(s.w.Cloud.Hosts[host].Report()))
+		s.deliver(int(s.nodes[0].c.m.hosts[host].Part[1]-'0'), copies[len(copies)-1])
+	}
+	s.w.Cloud.Kill(host)
+	again := func() {
+		for _, b := range copies {
+			for i := range s.nodes {
+				s.deliver(i, b)
+			}
+		}
+		s.round()
+	}
+	bound := int((s.w.Lease + 4*time.Second) / (500 * time.Millisecond))
+	for k := 0; k < bound+40 && s.running(id) < 2; k++ {
+		again()
+	}
+	if s.running(id) < 2 {
+		t.Fatalf("%d of 2 replicas run while copies of the lost machine's reports come in", s.running(id))
+	}
+	s.rounds(t, 60, "machine forgotten", func() bool { return s.nodes[0].c.m.hosts[host] == nil })
+	for i := range s.nodes {
+		s.start(i)
+	}
+	for range 40 {
+		again()
+		for _, n := range s.nodes {
+			if n.c.m.hosts[host] != nil {
+				t.Fatal("a machine that is long gone is recorded again")
+			}
+		}
+	}
+	if len(s.w.Broken) > 0 {
+		t.Fatal(s.w.Broken)
+	}
+}
+
+// A controller that loses the state service, but not its workers, lets them go
+// in time, and its part is served by another without a task running twice.
+func TestControllerWithWorkersButNoStore(t *testing.T) {
+	s := warmSim()
+	id := s.job(func(r *api.Run, _ *time.Duration) { r.Shape, r.Pieces = api.Daemon, 4 })
+	s.rounds(t, 60, "replicas run", func() bool { return s.running(id) == 4 })
+	home := s.nodes[0].c.m.hosts[s.w.Cloud.Names()[0]].Part
+	s.w.Store.Cut[home] = true
+	cfg := s.nodes[0].c.cfg
+	s.rounds(t, int((cfg.HoldTTL()+cfg.Grace()+cfg.LeaseBound())/(500*time.Millisecond))+20, "part served by another", func() bool {
+		o := s.owner(home)
+		if o == "" || o == home {
+			return false
+		}
+		for h, m := range s.nodes[int(o[1]-'0')].c.m.hosts {
+			if x := s.w.Cloud.Hosts[h]; m.Part == home && (x == nil || s.nodes[x.Node].name != o) {
+				return false
+			}
+		}
+		return true
+	})
+	cut := int(home[1] - '0')
+	for range int((cfg.HoldTTL() + cfg.Grace()) / (500 * time.Millisecond)) {
+		s.round()
+	}
+	for _, x := range s.w.Cloud.Hosts { // a worker that the new owner's fence has not reached must not be held
+		r := x.Report()
+		r.Baton = part.BatonOf(s.nodes[cut].c.mine[home].term, 0)
+		if status, _, _ := s.deliver(cut, api.JSON(r)); status == 200 {
+			t.Error("it answers reports beyond its grace")
+		}
+	}
+	low := s.job(func(r *api.Run, _ *time.Duration) { r.Pieces = 6 })
+	s.submit(1, low)
+	s.rounds(t, 120, "replicas and new work run", func() bool { return s.done(low)() && s.running(id) == 4 })
+	s.w.Store.Cut[home] = false
+	s.rounds(t, 60, "part back at home", func() bool { return s.owner(home) == home })
+}
+
+// A node that reaches neither the state service nor any peer can say nothing to
+// its users and is not healthy; their jobs would seem forgotten. One that shares
+// an outage with its peers stays.
+func TestIsolatedNodeLetsUsersGo(t *testing.T) {
+	s := warmSim()
+	c := s.nodes[0].c
+	c.storeAnswered(false)
+	s.w.Advance(c.cfg.HoldTTL())
+	c.reach.asked = true
+	c.reach.peers["n1"] = false
+	if r := c.health(); r.Status != 200 {
+		t.Errorf("in an outage that a peer sees too: %d", r.Status)
+	}
+	delete(c.reach.peers, "n1")
+	if r := c.health(); r.Status != 503 {
+		t.Errorf("alone: %d", r.Status)
+	}
+}
+
+// Controllers that are back at once, in the middle of taking a part and with
+// transactions of their earlier lives still to arrive, leave every part with one
+// owner and every replica running.
+func TestBackAtOnceInElection(t *testing.T) {
+	s := warmSim()
+	id := s.job(func(r *api.Run, _ *time.Duration) { r.Shape, r.Pieces = api.Daemon, 4 })
+	s.rounds(t, 60, "replicas run", func() bool { return s.running(id) == 4 })
+	s.nodes[1].up = false
+	s.rounds(t, 40, "part of n1 without an owner", func() bool { return s.nodes[0].c.m.owns["n1"].v == nil })
+	for _, n := range s.nodes {
+		s.w.Store.Next[n.name] = standin.Late // the take is on its way when its sender ends
+	}
+	for i := range s.nodes {
+		s.step(i)
+	}
+	for i := range s.nodes {
+		s.start(i)
+	}
+	for i := range s.nodes {
+		s.step(i)
+		s.w.Store.DeliverLate()
+	}
+	s.rounds(t, 60, "parts at home", func() bool {
+		return s.owner("n0") == "n0" && s.owner("n1") == "n1" && s.owner("n2") == "n2"
+	})
+	for range 40 {
+		s.round()
+		if s.running(id) != 4 {
+			t.Fatal("a replica was lost")
+		}
+	}
+	if len(s.w.Broken) > 0 {
+		t.Fatal(s.w.Broken)
+	}
+}
+
+// A large array that is late goes after what can still be in time, and would
+// never begin under a stream of small jobs that always can: it begins within
+// four minutes all the same.
+func TestLargestBegins(t *testing.T) {
+	s := newSim()
+	for i := range s.nodes {
+		s.nodes[i].c.cfg.Facts.Objectives = append(s.nodes[i].c.cfg.Facts.Objectives, config.Objective{Kind: "finished", Class: "l", WithinS: 60, Share: 0.9})
+	}
+	for range 10 {
+		s.round()
+	}
+	small := func() { s.job(func(r *api.Run, d *time.Duration) { r.Pieces, r.GuessS, *d = 1, 8, 8*time.Second }) }
+	small()
+	s.rounds(t, 60, "one machine", func() bool { return s.running("run-000000") == 1 })
+	s.w.Cloud.Full = true
+	small()
+	small()
+	large := s.job(func(r *api.Run, d *time.Duration) { r.Pieces, r.GuessS, *d = 12, 80, 80*time.Second })
+	begun := false
+	for k := 0; k < 480 && !begun; k++ {
+		if k%6 == 0 { // more than the one machine can do
+			small()
+		}
+		s.round()
+		begun = s.running(large) > 0
+	}
+	if !begun {
+		t.Fatal("the large array has not begun after four minutes")
+	}
+}
+
+// A job whose tasks fail is tried again within a lease, however often they did:
+// it must not wait so long that it counts as starved.
+func TestBackOffIsBounded(t *testing.T) {
+	s := warmSim()
+	id := s.job(func(r *api.Run, _ *time.Duration) { r.Pieces = 2 })
+	c := s.nodes[0].c
+	j := c.m.jobs[id]
+	for e := 1; e < 40; e++ {
+		j.chunks[0] = value[job.Chunk]{&job.Chunk{Errors: e, Places: map[int]*job.Place{}}, j.stamp}
+		c.backingOff(queued{j: j, uid: id}, c.now())
+		if wait := c.retryAt[id].Sub(c.now()); wait > c.cfg.Lease() || wait <= 0 {
+			t.Fatalf("waits %v after %d failures", wait, e)
+		}
+	}
+}
+
+// Changes are what the state service has least of. An array of short tasks that
+// end one after the other takes a few, not one for each of its tasks.
+func TestArrayTakesFewChanges(t *testing.T) {
+	s := warmSim()
+	warm := s.job(func(r *api.Run, d *time.Duration) { r.Shape, r.Pieces = api.Daemon, 1 })
+	s.rounds(t, 60, "a machine is up", func() bool { return s.running(warm) == 1 })
+	before := s.w.Store.Writes
+	jobs := []string{}
+	for range 4 {
+		id := s.job(func(r *api.Run, d *time.Duration) { r.Pieces, r.CPUs, r.GPUs, r.MemGB = 12, 0.1, 0, 0.1 })
+		s.w.Jobs[id].Step = time.Second
+		jobs = append(jobs, id)
+	}
+	for _, id := range jobs {
+		s.rounds(t, 400, "done", s.done(id))
+	}
+	if n := s.w.Store.Writes - before; n > 10*len(jobs) {
+		t.Fatalf("%d changes for %d jobs of 12 tasks", n, len(jobs))
+	} else {
+		t.Logf("%d changes for %d jobs", n, len(jobs))
+	}
+}
+
+// Rented machines are recorded in groups, not by a change each, and forgotten
+// likewise.
+func TestMachinesAreRecordedInGroups(t *testing.T) {
+	s := warmSim()
+	c := s.nodes[0].c
+	for i := range 60 {
+		c.adopt[fmt.Sprintf("i-9%05d", i)] = part.Machine{Build: "m", Site: "x"}
+	}
+	before := s.w.Store.Writes
+	for len(c.adopt) > 0 && s.w.Store.Writes < before+60 {
+		c.recordStrangers(context.Background())
+	}
+	if n := s.w.Store.Writes - before; n > 6 || len(c.m.hosts) < 60 {
+		t.Fatalf("%d changes for %d machines", n, len(c.m.hosts))
+	}
+}
--- a/internal/controller/headroom.go
+++ b/internal/controller/headroom.go
@@ -21,7 +21,7 @@
 const never = 1e9
 
 // mostArrivals bounds what is remembered of one lane.
-const mostArrivals = 64
+const mostArrivals = 1024
 
 // arrived notes a job for the head-room. It is called with the lock held.
 func (c *Controller) arrived(m *job.Main) {
@@ -49,9 +49,9 @@
 	out := make([]*sched.Host, len(hosts))
 	for i, h := range hosts {
 		x := *h
-		for _, pl := range c.m.onHost[h.Name] {
+		for id, pl := range c.m.onHost[h.Name] {
 			j := c.m.jobs[pl.uid]
-			if j == nil || j.main.Gone || pl.p.Stop {
+			if j == nil || j.main.Gone || pl.p.Stop || c.over(h.Name, id, pl) {
 				continue
 			}
 			if r, _ := api.RankOf(j.main.Run.Rank); r > rank {
@@ -140,28 +140,26 @@
 	return s
 }
 
-// spare tells whether an idle machine is part of the head-room: what is to be
-// kept room for would not fit without it. Call with the lock held.
-func (c *Controller) spare(host string, now time.Time) bool {
-	var others []*sched.Host
-	for _, h := range c.plan(now).left {
-		if h.Name != host {
-			others = append(others, h)
-		}
-	}
-	m := c.m.hosts[host].v
+// spares gives the idle machines that belong to the head-room: what is to be
+// kept room for takes them after it has filled the others. Call with the lock
+// held.
+func (c *Controller) spares(left []*sched.Host, now time.Time) map[string]bool {
+	out := map[string]bool{}
 	for _, u := range c.headroom(now) {
-		room := c.yielding(others, u.rank)
+		room := c.yielding(left, u.rank)
 		for range u.Count {
 			h := sched.FullestFit(room, &u.Ask)
 			if h == nil {
-				if u.Ask.Allows(m.Build, m.Site, m.Loaners) {
-					return true
-				}
 				break
 			}
 			h.Free = h.Free.Sub(u.Ask.Need)
+			if h.Daemons+h.Sweeps == 0 {
+				out[h.Name] = true
+			}
+			if !h.Free.Fits(u.Ask.Need) {
+				room = without(room, h)
+			}
 		}
 	}
-	return false
+	return out
 }
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"violetturn/internal/api"
@@ -124,7 +125,7 @@
 		t := newTxn()
 		t.write(nodeKey+me, part.Own{Node: me, Inc: c.inc})
 		t.permit[nodeKey+me] = c.permit
-		if _, _, err := c.commit(ctx, t, store.Hold); errors.Is(err, store.ErrNoPermit) {
+		if _, _, err := c.commit(ctx, "node", t, store.Hold); errors.Is(err, store.ErrNoPermit) {
 			return
 		}
 	}
@@ -192,9 +193,9 @@
 	// those, if they did not live to see its grace out: the doubt stays with the
 	// record, or a quick restart of ours would forget it.
 	clean := rec.v == nil || (rec.v.By == me || rec.v.Released) && !rec.v.Doubt
-	t.write(partKey+p, part.Record{Term: term, By: me, Doubt: !clean, Free: map[string][3]float64{}})
+	t.write(partKey+p, part.Record{Term: term, By: me, Doubt: !clean, Free: part.Free{}, Use: c.useOf(p)})
 	c.mu.Unlock()
-	done, _, err := c.commit(ctx, t, store.Hold)
+	done, _, err := c.commit(ctx, "part", t, store.Hold)
 	if !done {
 		c.log.Debug("part not taken", "part", p, "err", err)
 		return
@@ -214,7 +215,7 @@
 	c.mine[p] = o
 	c.log.Info("part taken", "part", p, "term", term, "had_owner", had, "clean", clean)
 	for host, m := range c.m.hosts {
-		if m.v.Part == p {
+		if m.Part == p {
 			c.session(host, o)
 			c.fence(ctx, host)
 		}
@@ -226,7 +227,7 @@
 func (c *Controller) dropPart(p string) {
 	delete(c.mine, p)
 	for host := range c.sessions {
-		if m := c.m.hosts[host]; m.v == nil || m.v.Part == p {
+		if m := c.m.hosts[host]; m == nil || m.Part == p {
 			delete(c.sessions, host)
 		}
 	}
@@ -260,7 +261,7 @@
 	r.Released = true
 	t.write(partKey+p, r)
 	c.mu.Unlock()
-	done, _, err := c.commit(ctx, t, store.Hold)
+	done, _, err := c.commit(ctx, "part", t, store.Hold)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if done {
@@ -277,24 +278,33 @@
 // fence tells a worker our baton directly, so that an earlier owner's answers
 // are dropped from then on, and learns what runs there. Call with the lock held.
 func (c *Controller) fence(ctx context.Context, host string) {
+	if s := c.sessions[host]; s != nil && !s.Fenced && c.now().Sub(s.Asked) >= c.cfg.Report() {
+		c.command(ctx, host, api.Orders{Tenure: 1, Orders: []api.Order{}})
+	}
+}
+
+// command sends orders that may be carried out at any later time to a worker
+// directly, and takes in the report that it answers with. It tells whether there
+// was room to send them. Call with the lock held.
+func (c *Controller) command(ctx context.Context, host string, o api.Orders) bool {
 	m, s := c.m.hosts[host], c.sessions[host]
-	if m.v == nil || m.v.Addr == "" || s == nil || s.Fenced || c.now().Sub(s.Asked) < c.cfg.Report() {
-		return
+	if m == nil || m.Addr == "" || s == nil {
+		return false
 	}
 	select {
 	case c.fencing <- struct{}{}:
 	default:
-		return // the next round asks again
+		return false // the next round asks again
 	}
 	s.Asked = c.now()
-	term, addr := s.Term, m.v.Addr
+	term, addr := s.Term, m.Addr
+	o.Baton = s.Baton()
 	c.spawn(func() {
 		defer func() { <-c.fencing }()
-		tenure := uint64(1)
 		for range 2 {
-			r, _, err := c.workers.Command(ctx, addr, api.Orders{Baton: term, Tenure: tenure, Orders: []api.Order{}})
+			r, done, err := c.workers.Command(ctx, addr, o)
 			if err != nil {
-				c.log.Debug("fence", "host", host, "err", err)
+				c.log.Debug("command", "host", host, "err", err)
 				return
 			}
 			c.mu.Lock()
@@ -302,20 +312,77 @@
 				c.accept(host, s, r)
 			}
 			c.mu.Unlock()
-			if r.Baton == term || r.Baton > term {
+			if done || part.TermOf(r.Baton) >= term {
 				return
 			}
-			tenure = r.Tenure
+			o.Tenure = r.Tenure
 		}
 	})
+	return true
+}
+
+// nudgeRound has workers report at once for whom there is something new: a start
+// goes only in an answer to a report, and the next one may be a whole round
+// away. A direct command that clears ended tasks, or raises the worker's token,
+// makes it report; neither does harm whenever it is carried out.
+func (c *Controller) nudgeRound(ctx context.Context) {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.canAct(now) {
+		return
+	}
+	for host := range c.news {
+		m := c.m.hosts[host]
+		s := c.sessions[host]
+		if m == nil || c.owned(m.Part) == nil || s == nil || !s.Fenced || s.Report == nil || s.Dark || s.Gone || s.Deaf {
+			delete(c.news, host)
+			continue
+		}
+		o := api.Orders{Tenure: s.Report.Tenure, Orders: []api.Order{}}
+		wanted := map[attempt]bool{}
+		for _, pl := range c.m.onHost[host] {
+			if j := c.m.jobs[pl.uid]; j != nil {
+				wanted[attempt{pl.name(j), pl.p.Try}] = true
+			}
+		}
+		for _, p := range s.Report.Pieces {
+			if a := (attempt{p.Piece, p.Try}); p.Phase == api.Ended && !wanted[a] {
+				o.Orders = append(o.Orders, api.Order{Verb: api.Clear, Piece: a.name, Try: a.try})
+			}
+		}
+		if len(o.Orders) == 0 {
+			if now.Sub(s.RaisedAt) < c.cfg.Lease()/2 { // more raises count as no change
+				delete(c.news, host)
+				continue
+			}
+			s.Raise(now)
+		}
+		if !c.command(ctx, host, o) {
+			return // the rest in the next round
+		}
+		delete(c.news, host)
+	}
 }
 
 // accept takes in a report and looks at what it says. Call with the lock held.
 func (c *Controller) accept(host string, s *part.Session, r *api.Checkin) bool {
-	if !s.Accept(r) {
+	old, deaf := s.Report, s.Deaf
+	if !s.Accept(r, c.now()) {
 		return false
 	}
 	s.Seen = c.now()
-	c.poke()
+	if s.Deaf && !deaf {
+		c.log.Info("worker's lease ran out", "host", host, "why", "it does not hear its answers, or was cut off: no tasks until it obeys")
+	}
+	if old == nil || deaf != s.Deaf || old.Tenure != r.Tenure || (old.RecallS == nil) != (r.RecallS == nil) || !slices.Equal(old.Pieces, r.Pieces) {
+		c.poke()
+	}
 	return true
 }
+
+// attempt names a try of a task on the wire.
+type attempt struct {
+	name string
+	try  uint64
+}
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -14,6 +15,8 @@
 // it. A node can't tell an outage from a refusal of itself alone; peers can.
 type reach struct {
 	store bool            // our last request was served
+	since time.Time       // since when that is so
+	asked bool            // the peers have been asked since
 	peers map[string]bool // peers that answer, and whether they reach the state service
 }
 
@@ -21,7 +24,7 @@
 func (c *Controller) storeAnswered(ok bool) {
 	c.mu.Lock()
 	if c.reach.store != ok {
-		c.reach.store = ok
+		c.reach.store, c.reach.since, c.reach.asked = ok, c.now(), false
 		c.log.Info("state service", "reached", ok)
 	}
 	c.mu.Unlock()
@@ -54,6 +57,9 @@
 			}
 			c.mu.Unlock()
 		}
+		c.mu.Lock()
+		c.reach.asked = !c.reach.store
+		c.mu.Unlock()
 	}
 }
 
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -2,7 +2,8 @@
 
 import (
 	"cmp"
-	"maps"
+	"fmt"
+	"math"
 	"net/url"
 	"slices"
 	"time"
@@ -17,7 +18,7 @@
 
 // placement is a task and the machine it is to go to.
 type placement struct {
-	j     *liveJob
+	uid   string
 	chunk int
 	index int
 	host  *sched.Host
@@ -29,7 +30,7 @@
 	stops  []*placed // tasks to stop for others
 	unmet  []sched.Unmet
 	all    []sched.Unmet // what found no room at once, peers' jobs included
-	left   []*sched.Host // the machines with the room that is left after all that
+	left   []*sched.Host // all machines with the room that is left after all that
 }
 
 // capOf gives a machine type's size. Call with the lock held.
@@ -47,7 +48,7 @@
 // lock held.
 func (c *Controller) usable(host string, now time.Time) bool {
 	s := c.sessions[host]
-	return s != nil && s.Fenced && !s.Gone && !s.Dark && !s.Drain && s.Report.RecallS == nil && !now.Before(s.Avoid) &&
+	return s != nil && s.Fenced && !s.Gone && !s.Dark && !s.Drain && !s.Deaf && s.Report.RecallS == nil && !now.Before(s.Avoid) &&
 		now.Sub(s.Seen) < 3*c.cfg.Report()
 }
 
@@ -64,69 +65,69 @@
 }
 
 // freeOf computes the free room of the usable machines of an own part from the
-// committed placements. Call with the lock held.
+// committed placements, less those that are over. A machine without any is left
+// out. Call with the lock held.
 func (c *Controller) freeOf(p string, now time.Time) map[string]sched.Room {
 	free := map[string]sched.Room{}
 	for host, m := range c.m.hosts {
-		if m.v.Part != p || !c.usable(host, now) {
+		if m.Part != p || !c.usable(host, now) {
 			continue
 		}
-		r, f := c.capOf(m.v.Build)
+		r, f := c.capOf(m.Build)
 		if f == nil {
 			continue
 		}
-		for _, pl := range c.m.onHost[host] {
-			if j := c.m.jobs[pl.uid]; j != nil {
+		for id, pl := range c.m.onHost[host] {
+			if j := c.m.jobs[pl.uid]; j != nil && !c.over(host, id, pl) {
 				r = r.Sub(need(&j.main.Run))
 			}
 		}
-		free[host] = r
-	}
-	// Several controllers may have rented past what the record holds: the last
-	// machines are not offered, stay idle and go back.
-	if most := c.partRoom(); len(free) > most {
-		names := slices.Sorted(maps.Keys(free))
-		for _, h := range names[most:] {
-			delete(free, h)
+		if r.CPUs > 1e-6 && r.MemGB > 1e-6 {
+			free[host] = r
 		}
 	}
 	return free
 }
 
-// hosts lists the machines with their free room, by part: of own parts as
-// computed, of peers' as their records say. Call with the lock held.
-func (c *Controller) hosts(now time.Time) map[string][]*sched.Host {
-	out := map[string][]*sched.Host{}
+// hosts lists the machines with their free room: of own parts as computed, of
+// peers' as their records say. Call with the lock held.
+func (c *Controller) hosts(now time.Time) []*sched.Host {
+	var out []*sched.Host
 	for _, p := range c.parts {
 		own := c.m.owns[p]
 		if own.v == nil || c.m.parts[p].v == nil {
 			continue
 		}
-		free := map[string]sched.Room{}
+		var free map[string]sched.Room
 		if c.owned(p) != nil {
 			free = c.freeOf(p, now)
 		} else if own.v.Node != c.cfg.HostName {
+			free = make(map[string]sched.Room, len(c.m.parts[p].v.Free))
 			for h, v := range c.m.parts[p].v.Free {
 				free[h] = part.Unvec(v)
 			}
 		}
 		for h, r := range free {
 			m := c.m.hosts[h]
-			if m.v == nil {
+			if m == nil {
 				continue
 			}
-			cp, _ := c.capOf(m.v.Build)
-			x := &sched.Host{Name: h, Part: p, Build: m.v.Build, Site: m.v.Site, Loaners: m.v.Loaners, Cap: cp, Free: r, Warm: c.m.images[h]}
-			for _, pl := range c.m.onHost[h] {
+			cp, _ := c.capOf(m.Build)
+			x := &sched.Host{Name: h, Part: p, Build: m.Build, Site: m.Site, Loaners: m.Loaners, Cap: cp, Free: r, Warm: c.m.images[h]}
+			for id, pl := range c.m.onHost[h] {
+				if c.over(h, id, pl) {
+					continue
+				}
 				if j := c.m.jobs[pl.uid]; j != nil && j.main.Run.Shape == api.Daemon {
 					x.Daemons++
 				} else {
 					x.Sweeps++
 				}
 			}
-			out[p] = append(out[p], x)
+			out = append(out, x)
 		}
 	}
+	slices.SortFunc(out, func(a, b *sched.Host) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
@@ -137,6 +138,7 @@
 	rank      int
 	guarantee bool
 	mine      bool
+	starving  bool
 	work      config.Work
 	weight    float64
 }
@@ -180,15 +182,35 @@
 			rank, _ := api.RankOf(r.Rank)
 			within := (team.CPUs > 0 || team.GPUs > 0) && (team.CPUs == 0 || cpus <= team.CPUs+1e-6) && (team.GPUs == 0 || gpus <= team.GPUs+1e-6)
 			w := c.describe(j, rank, within, now)
-			q = append(q, queued{j: j, uid: r.UID, rank: rank, guarantee: within, mine: c.owned(j.main.Part) != nil, work: w, weight: c.policy.Weight(w)})
+			q = append(q, queued{j: j, uid: r.UID, rank: rank, guarantee: within, mine: c.owned(j.main.Part) != nil, work: w, weight: c.policy.Weight(w), starving: c.starving(j, w.Age)})
 		}
 	}
 	slices.SortFunc(q, func(a, b queued) int {
-		return cmp.Or(-cmp.Compare(a.weight, b.weight), bySlack(a.work, b.work), byAge(a.j, b.j))
+		return cmp.Or(-cmp.Compare(a.weight, b.weight), -compareBool(a.starving, b.starving), bySlack(a.work, b.work), byAge(a.j, b.j))
 	})
 	return q
 }
 
+// mustBegin is within what time even the largest job has to begin (PROTOCOL).
+const mustBegin = 4 * time.Minute
+
+// starving tells whether a job has not begun although its own aim, or half of
+// what PROTOCOL grants the largest jobs, has passed. Such a job goes first within
+// its weight: what is late otherwise goes last, and under a stream of small jobs
+// that can still be in time a large one would never begin. Call with the lock
+// held.
+func (c *Controller) starving(j *liveJob, age float64) bool {
+	if age < min(c.within(&j.main.Run), (mustBegin/2).Seconds()) || len(j.main.Fin) > 0 {
+		return false
+	}
+	for _, ch := range j.chunks {
+		if ch.v.Tries > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
@@ -234,13 +256,11 @@
 	}
 }
 
-// teamUse is what a team's tasks hold in all, by its record.
+// teamUse is what a team's tasks hold in all, by the parts' records.
 func (c *Controller) teamUse(name string) sched.Room {
 	var r sched.Room
-	if u := c.m.teams[teamID(name)].v; u != nil {
-		for _, v := range u.Held {
-			r = r.Add(part.Unvec(v))
-		}
+	for _, p := range c.m.parts {
+		r = r.Add(part.Unvec(p.v.Use[name]))
 	}
 	return r
 }
@@ -261,8 +281,8 @@
 	if j.main.Run.Scatter {
 		for n, ch := range j.chunks {
 			for _, p := range ch.v.Places {
-				if h := c.m.hosts[p.Host]; h.v != nil {
-					z.add(n, h.v.Site)
+				if h := c.m.hosts[p.Host]; h != nil {
+					z.add(n, h.Site)
 				}
 			}
 		}
@@ -288,15 +308,57 @@
 	return !r.Scatter || z.count[chunk][site] < (z.j.main.ChunkLen(chunk)+1)/2
 }
 
+// least gives the smallest amounts that any waiting task asks for: a machine
+// with less has no room for anybody. Call with the lock held.
+func least(queue []queued) sched.Room {
+	inf := math.Inf(1)
+	m := sched.Room{CPUs: inf, GPUs: inf, MemGB: inf}
+	for _, q := range queue {
+		some := false
+		q.j.pending(func(task) bool {
+			some = true
+			return false
+		})
+		if some {
+			n := need(&q.j.main.Run)
+			m = sched.Room{CPUs: min(m.CPUs, n.CPUs), GPUs: min(m.GPUs, n.GPUs), MemGB: min(m.MemGB, n.MemGB)}
+		}
+	}
+	return m
+}
+
+// fitting gives the machines that have as much room, by part.
+func fitting(hosts []*sched.Host, n sched.Room) map[string][]*sched.Host {
+	out := map[string][]*sched.Host{}
+	for _, h := range hosts {
+		if h.Free.Fits(n) {
+			out[h.Part] = append(out[h.Part], h)
+		}
+	}
+	return out
+}
+
+// without takes a machine from a list, which it changes.
+func without(l []*sched.Host, h *sched.Host) []*sched.Host {
+	if i := slices.Index(l, h); i >= 0 {
+		return slices.Delete(l, i, i+1)
+	}
+	return l
+}
+
 // plan places what can be placed, picks what to stop for what can't, and tells
 // what then still lacks room. Call with the lock held.
 func (c *Controller) plan(now time.Time) *plan {
+	began := time.Now()
+	defer func() { c.planned += time.Since(began) }()
 	out := &plan{}
 	if len(c.flavors) == 0 || !c.canAct(now) {
 		return out
 	}
-	hosts := c.hosts(now)
+	all := c.hosts(now)
 	queue := c.queue(now)
+	least := least(queue)
+	hosts := fitting(all, least) // only those with room: work per task is bounded by them
 	use := map[string]sched.Room{}
 	for _, t := range c.cfg.Facts.Teams {
 		if t.Limited() {
@@ -343,9 +405,12 @@
 				return len(l.tasks) < 256 // more than could be rented for at once
 			}
 			h.Free = h.Free.Sub(a.Need)
+			if !h.Free.Fits(least) {
+				hosts[h.Part] = without(hosts[h.Part], h)
+			}
 			z.add(t.chunk, h.Site)
 			if q.mine {
-				out.places = append(out.places, placement{q.j, t.chunk, t.index, h})
+				out.places = append(out.places, placement{q.uid, t.chunk, t.index, h})
 			}
 			if a.Daemon {
 				h.Daemons++
@@ -358,9 +423,17 @@
 			lack = append(lack, l)
 		}
 	}
-	coming := c.vacating(hosts)
+	coming := c.vacating(all)
 	out.left = coming
-	over := c.beyondGuarantee(queue)
+	if len(lack) == 0 {
+		return out
+	}
+	var open []*sched.Host
+	for _, l := range fitting(coming, least) {
+		open = append(open, l...)
+	}
+	slices.SortFunc(open, func(a, b *sched.Host) int { return cmp.Compare(a.Name, b.Name) })
+	hunt := c.hunt(queue, coming, now)
 	for _, l := range lack {
 		u := sched.Unmet{Ask: l.ask}
 		if !l.q.mine {
@@ -368,15 +441,22 @@
 			continue
 		}
 		var left []task
-		for _, t := range l.tasks {
+		var prey []*prey
+		for i, t := range l.tasks {
 			a := l.ask
 			a.ZoneOK = func(site string) bool { return l.z.ok(t.chunk, site) }
-			if h := sched.FullestFit(coming, &a); h != nil {
+			if h := sched.FullestFit(open, &a); h != nil {
 				h.Free = h.Free.Sub(a.Need)
+				if !h.Free.Fits(least) {
+					open = without(open, h)
+				}
 				l.z.add(t.chunk, h.Site)
 				continue
 			}
-			if v, h := c.victims(l.q, &a, coming, over, out.stops, now); v != nil {
+			if prey == nil {
+				prey = hunt.gather(l.q, &l.ask, 2*(len(l.tasks)-i)+16)
+			}
+			if v, h := hunt.victims(prey, &a); v != nil {
 				out.stops = append(out.stops, v...)
 				for _, x := range v {
 					h.Free = h.Free.Add(need(&c.m.jobs[x.uid].main.Run))
@@ -416,7 +496,7 @@
 		return false
 	}
 	if e > c.errSeen[q.uid] {
-		c.retryAt[q.uid] = now.Add(min(c.cfg.Report()<<min(e-1, 10), 4*c.cfg.Lease()))
+		c.retryAt[q.uid] = now.Add(min(c.cfg.Report()<<min(e-1, 10), c.cfg.Lease()))
 	}
 	c.errSeen[q.uid] = e
 	return now.Before(c.retryAt[q.uid])
@@ -424,32 +504,20 @@
 
 // vacating gives the machines with the room that tasks on their way out will
 // leave added to what is free. Call with the lock held.
-func (c *Controller) vacating(hosts map[string][]*sched.Host) []*sched.Host {
-	var out []*sched.Host
-	for _, l := range hosts {
-		for _, h := range l {
-			x := *h
-			for _, pl := range c.m.onHost[h.Name] {
-				if j := c.m.jobs[pl.uid]; j != nil && (pl.p.Stop || j.main.Gone) {
-					x.Free = x.Free.Add(need(&j.main.Run))
-				}
+func (c *Controller) vacating(hosts []*sched.Host) []*sched.Host {
+	out := make([]*sched.Host, len(hosts))
+	for i, h := range hosts {
+		x := *h
+		for id, pl := range c.m.onHost[h.Name] {
+			if j := c.m.jobs[pl.uid]; j != nil && (pl.p.Stop || j.main.Gone) && !c.over(h.Name, id, pl) {
+				x.Free = x.Free.Add(need(&j.main.Run))
 			}
-			out = append(out, &x)
 		}
+		out[i] = &x
 	}
-	slices.SortFunc(out, func(a, b *sched.Host) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
-// beyondGuarantee tells for each job whether it runs beyond its team's guarantee.
-func (c *Controller) beyondGuarantee(queue []queued) map[string]bool {
-	over := map[string]bool{}
-	for _, q := range queue {
-		over[q.uid] = !q.guarantee
-	}
-	return over
-}
-
 // mayStop tells whether PROTOCOL lets the job take room from the other one.
 func (c *Controller) mayStop(q queued, v *api.Run, over bool) bool {
 	rank, _ := api.RankOf(v.Rank)
@@ -459,33 +527,82 @@
 	return q.guarantee && over && v.Owner != q.j.main.Run.Owner
 }
 
-// victims picks what to stop for a task: on one machine, losing least. Call with
-// the lock held.
-func (c *Controller) victims(q queued, a *sched.Ask, hosts []*sched.Host, over map[string]bool, already []*placed, now time.Time) ([]*placed, *sched.Host) {
-	var best []*placed
-	var on *sched.Host
-	bestCost := 0.0
-	for _, h := range hosts {
-		if !a.Allows(h.Build, h.Site, h.Loaners) {
-			continue
-		}
-		var cand []sched.Victim
-		byName := map[string]*placed{}
+// hunt finds tasks to stop for others. It looks over the machines once for a
+// job, not for each of its tasks, and not at all for a kind of job that found
+// nothing before.
+type hunt struct {
+	c      *Controller
+	now    time.Time
+	hosts  []*sched.Host
+	over   map[string]bool // jobs beyond their teams' guarantees
+	taken  map[*placed]bool
+	barren map[string]bool // kinds of jobs that may stop nothing
+}
+
+// prey is a machine where stopping tasks would make room.
+type prey struct {
+	h    *sched.Host
+	cand []sched.Victim
+	by   map[string]*placed
+}
+
+func (c *Controller) hunt(queue []queued, hosts []*sched.Host, now time.Time) *hunt {
+	x := &hunt{c: c, now: now, hosts: hosts, over: map[string]bool{}, taken: map[*placed]bool{}, barren: map[string]bool{}}
+	for _, q := range queue {
+		x.over[q.uid] = !q.guarantee
+	}
+	return x
+}
+
+// gather gives machines where stopping tasks would make room for one of the
+// job's, a bounded number of them.
+func (x *hunt) gather(q queued, a *sched.Ask, most int) []*prey {
+	c := x.c
+	kind := fmt.Sprint(q.rank, q.guarantee, q.j.main.Run.Owner)
+	found, any := []*prey{}, false
+	if x.barren[kind] || len(x.hosts) == 0 {
+		return found
+	}
+	for i, from := 0, c.rnd.IntN(len(x.hosts)); i < len(x.hosts) && len(found) < most; i++ {
+		h := x.hosts[(from+i)%len(x.hosts)]
+		p := &prey{h: h, by: map[string]*placed{}}
 		for id, pl := range c.m.onHost[h.Name] {
 			j := c.m.jobs[pl.uid]
-			if j == nil || j.main.Gone || pl.p.Stop || slices.Contains(already, pl) || !c.mayStop(q, &j.main.Run, over[pl.uid]) {
+			if j == nil || j.main.Gone || pl.p.Stop || x.taken[pl] || !c.mayStop(q, &j.main.Run, x.over[pl.uid]) || c.over(h.Name, id, pl) {
 				continue
 			}
-			cost := lost(j, pl.p, now)
+			any = true
+			cost := lost(j, pl.p, x.now)
 			rank, _ := api.RankOf(j.main.Run.Rank)
-			if !c.policy.Preempt(q.work, c.describe(j, rank, !over[pl.uid], now), cost) {
+			if !c.policy.Preempt(q.work, c.describe(j, rank, !x.over[pl.uid], x.now), cost) {
 				continue
 			}
-			byName[id] = pl
-			cand = append(cand, sched.Victim{Piece: id, Room: need(&j.main.Run), Cost: cost})
+			p.by[id] = pl
+			p.cand = append(p.cand, sched.Victim{Piece: id, Room: need(&j.main.Run), Cost: cost})
 		}
-		take, cost := sched.Preempt(h.Free, a.Need, cand)
-		if !h.Warm[a.Bundle] {
+		if len(p.cand) > 0 && a.Allows(h.Build, h.Site, h.Loaners) {
+			if take, _ := sched.Preempt(h.Free, a.Need, slices.Clone(p.cand)); take != nil {
+				found = append(found, p)
+			}
+		}
+	}
+	if !any {
+		x.barren[kind] = true
+	}
+	return found
+}
+
+// victims picks what to stop for a task: on one machine, losing least.
+func (x *hunt) victims(from []*prey, a *sched.Ask) ([]*placed, *sched.Host) {
+	var best []*placed
+	var on *prey
+	bestCost := 0.0
+	for _, p := range from {
+		if !a.Allows(p.h.Build, p.h.Site, p.h.Loaners) {
+			continue
+		}
+		take, cost := sched.Preempt(p.h.Free, a.Need, slices.Clone(p.cand))
+		if !p.h.Warm[a.Bundle] {
 			cost += a.PullS // the task waits for its image there
 			if a.Warm {
 				cost += 10 * a.PullS // and misses its aim
@@ -494,12 +611,19 @@
 		if take == nil || best != nil && cost >= bestCost {
 			continue
 		}
-		best, on, bestCost = nil, h, cost
+		best, on, bestCost = nil, p, cost
 		for _, v := range take {
-			best = append(best, byName[v.Piece])
+			best = append(best, p.by[v.Piece])
 		}
 	}
-	return best, on
+	if best == nil {
+		return nil, nil
+	}
+	for _, pl := range best {
+		x.taken[pl] = true
+	}
+	on.cand = slices.DeleteFunc(on.cand, func(v sched.Victim) bool { return x.taken[on.by[v.Piece]] })
+	return best, on.h
 }
 
 // lost estimates the work that stopping a task loses, in seconds.
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -17,7 +17,8 @@
 func (c *Controller) cloudLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		c.cloudStep(ctx)
-		sleep(ctx, c.cfg.Report()/3)
+		// A few calls of its share of the rate apart.
+		sleep(ctx, min(c.cfg.Report()/3, time.Duration(2*float64(c.cfg.Facts.Size)/c.cfg.Facts.Cloud.RPS*float64(time.Second))))
 	}
 }
 
@@ -88,21 +89,24 @@
 func (c *Controller) coming(now time.Time, all bool) []*sched.Host {
 	var out []*sched.Host
 	for host, m := range c.m.hosts {
-		if !all && c.owned(m.v.For) == nil || len(c.m.onHost[host]) > 0 {
+		if !all && c.owned(m.For) == nil || len(c.m.onHost[host]) > 0 {
 			continue
 		}
-		cp, f := c.capOf(m.v.Build)
-		rec := c.m.parts[m.v.Part].v
+		cp, f := c.capOf(m.Build)
+		rec := c.m.parts[m.Part].v
 		if f == nil || rec == nil {
 			continue
 		}
 		if _, up := rec.Free[host]; up {
 			continue
 		}
-		if float64(now.UnixMilli()-m.v.AtMS)/1000 > 2*f.StartupS {
+		if s := c.sessions[host]; s != nil && s.Fenced {
+			continue
+		}
+		if float64(now.UnixMilli()-m.AtMS)/1000 > 2*f.StartupS {
 			continue // late: it may never come
 		}
-		out = append(out, &sched.Host{Name: host, Part: m.v.Part, Build: m.v.Build, Site: m.v.Site, Loaners: m.v.Loaners, Cap: cp, Free: cp})
+		out = append(out, &sched.Host{Name: host, Part: m.Part, Build: m.Build, Site: m.Site, Loaners: m.Loaners, Cap: cp, Free: cp})
 	}
 	return out
 }
@@ -116,15 +120,14 @@
 	var orders []sched.Order
 	mine := ""
 	var term uint64
-	room := c.partRoom()*len(c.parts) - len(c.m.hosts)
-	orders = sched.Plan(p.unmet, c.coming(now, false), c.offers(now), c.cfg.Site, room)
+	orders = sched.Plan(p.unmet, c.coming(now, false), c.offers(now), c.cfg.Site)
 	if c.owned(c.parts[0]) != nil { // one node keeps the head-room for all
 		// What lacks room now, here and at the peers, has been rented for and
 		// takes its share of what is coming.
 		sim := append(c.coming(now, true), p.left...)
-		sched.Plan(p.all, sim, nil, "", 0)
+		sched.Plan(p.all, sim, nil, "")
 		for _, w := range c.headroom(now) {
-			orders = append(orders, sched.Plan([]sched.Unmet{w.Unmet}, c.yielding(sim, w.rank), c.offers(now), c.cfg.Site, room)...)
+			orders = append(orders, sched.Plan([]sched.Unmet{w.Unmet}, c.yielding(sim, w.rank), c.offers(now), c.cfg.Site)...)
 		}
 	}
 	if len(orders) > 0 {
@@ -203,9 +206,9 @@
 	defer c.mu.Unlock()
 	in := map[string]bool{}
 	for _, h := range l {
-		in[h.UID] = true
+		in[h.UID] = h.Phase != "failed"
 		m := c.m.hosts[h.UID]
-		if m.v == nil {
+		if m == nil {
 			// Perhaps just rented by a peer, or just returned and still listed.
 			if first, ok := seen[h.UID]; !ok {
 				seen[h.UID] = now
@@ -215,25 +218,29 @@
 			continue
 		}
 		delete(seen, h.UID)
-		if m.v.Addr == "" {
-			m.v.Addr = h.Addr
+		if m.Addr == "" {
+			m.Addr = h.Addr
 		}
-		if o := c.owned(m.v.Part); o != nil {
+		if o := c.owned(m.Part); o != nil {
 			s := c.session(h.UID, o)
-			s.Listed, s.Missing = true, 0
+			s.Missing = 0
 			if h.Phase == "failed" && !s.Drain {
 				c.log.Info("machine failed", "host", h.UID)
 				s.Drain, s.Missing = true, 2
 			}
 		}
 	}
+	c.inList = in
 	for h := range seen {
-		if !in[h] {
+		if _, ok := in[h]; !ok {
 			delete(seen, h)
 		}
 	}
 	for host, s := range c.sessions {
-		if s.Listed && !in[host] {
+		// One that is listed stays so until it is gone, and a new one is listed
+		// after some time: what a late copy had recorded never is.
+		m := c.m.hosts[host]
+		if _, ok := in[host]; !ok && m != nil && now.Sub(time.UnixMilli(m.AtMS)) > 4*lag+c.cfg.Report() {
 			s.Missing++
 		}
 	}
@@ -248,9 +255,10 @@
 		return
 	}
 	var back []string
+	view := &idleView{c: c, now: now}
 	for host, m := range c.m.hosts {
-		o := c.owned(m.v.Part)
-		rec := c.m.parts[m.v.Part].v
+		o := c.owned(m.Part)
+		rec := c.m.parts[m.Part].v
 		if o == nil || rec == nil {
 			continue
 		}
@@ -261,7 +269,7 @@
 		if !s.Fenced {
 			c.fence(ctx, host)
 		}
-		c.judge(host, m.v, s, now)
+		c.judge(host, m, s, view)
 		_, offered := rec.Free[host]
 		silent := now.Sub(s.Seen) > 2*c.cfg.Report()
 		switch {
@@ -286,19 +294,39 @@
 		if s := c.sessions[h]; s != nil {
 			s.Gone = true
 		}
-		if m := c.m.hosts[h]; m.v != nil {
-			if c.http != nil {
-				c.http.Forget(m.v.Addr)
-			}
-		}
 	}
 	c.mu.Unlock()
 	c.log.Info("machines returned", "hosts", back)
 	c.poke()
 }
 
+// idleView is what judging a round of machines needs to know of all of them,
+// worked out once if one of them asks.
+type idleView struct {
+	c     *Controller
+	now   time.Time
+	hosts []*sched.Host   // with the room that is left after what is to be placed
+	spare map[string]bool // idle ones that the head-room needs
+}
+
+func (v *idleView) left() []*sched.Host {
+	if v.hosts == nil {
+		v.hosts = v.c.plan(v.now).left
+	}
+	return v.hosts
+}
+
+// isSpare tells whether a machine is part of the head-room.
+func (v *idleView) isSpare(host string) bool {
+	if v.spare == nil {
+		v.spare = v.c.spares(v.left(), v.now)
+	}
+	return v.spare[host]
+}
+
 // judge decides whether a machine is to be returned. Call with the lock held.
-func (c *Controller) judge(host string, m *part.Machine, s *part.Session, now time.Time) {
+func (c *Controller) judge(host string, m *part.Machine, s *part.Session, view *idleView) {
+	now := view.now
 	_, f := c.capOf(m.Build)
 	if f == nil || s.Drain {
 		return
@@ -327,9 +355,9 @@
 		}
 		return
 	}
-	if len(c.m.onHost[host]) > 0 || s.Report != nil && len(s.Report.Pieces) > 0 {
+	if c.busy(host) > 0 || s.Report != nil && slices.ContainsFunc(s.Report.Pieces, func(p api.PieceState) bool { return p.Phase != api.Ended }) {
 		s.Idle = time.Time{}
-		if !c.movable(host, startup, now) {
+		if !c.movable(host, startup, view) {
 			s.Loose = time.Time{}
 		} else if s.Loose.IsZero() {
 			s.Loose = now
@@ -342,7 +370,7 @@
 	if s.Idle.IsZero() {
 		s.Idle = now
 	}
-	if now.Sub(s.Idle).Seconds() > c.policy.Idle(f.StartupS, priceOf(f, m.Loaners), m.Loaners) && !c.spare(host, now) {
+	if now.Sub(s.Idle).Seconds() > c.policy.Idle(f.StartupS, priceOf(f, m.Loaners), m.Loaners) && !view.isSpare(host) {
 		drain("idle")
 	}
 }
@@ -350,8 +378,8 @@
 // movable tells whether a machine holds nothing but a few replicas that have run
 // for a while and fit on machines in use elsewhere that have their images, so
 // that moving them costs seconds and saves a machine. Call with the lock held.
-func (c *Controller) movable(host string, startup time.Duration, now time.Time) bool {
-	m := c.m.hosts[host].v
+func (c *Controller) movable(host string, startup time.Duration, view *idleView) bool {
+	m, now := c.m.hosts[host], view.now
 	cp, _ := c.capOf(m.Build)
 	used := sched.Room{}
 	for _, pl := range c.m.onHost[host] {
@@ -369,9 +397,10 @@
 		return false
 	}
 	var others []*sched.Host
-	for _, h := range c.plan(now).left {
+	for _, h := range view.left() {
 		if h.Name != host && h.Daemons > 0 && h.Site == m.Site {
-			others = append(others, h)
+			x := *h
+			others = append(others, &x)
 		}
 	}
 	for _, pl := range c.m.onHost[host] {
@@ -382,5 +411,5 @@
 		}
 		h.Free = h.Free.Sub(a.Need)
 	}
-	return !c.spare(host, now)
+	return !view.isSpare(host)
 }
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -23,41 +23,69 @@
 		return errBusy
 	}
 	m := c.m.hosts[r.Host]
-	if m.v == nil {
-		c.stranger(r.Host, part.Machine{Build: r.Build, Site: r.Site, Loaners: r.Loaners, Addr: r.Addr})
+	if m == nil {
+		// Only one that the cloud lists: a copy of a report may come long after
+		// its machine is gone, and nobody else remembers that it was there.
+		if c.inList[r.Host] {
+			c.stranger(r.Host, part.Machine{Build: r.Build, Site: r.Site, Loaners: r.Loaners, Addr: r.Addr})
+		}
 		return errBusy
 	}
-	o := c.owned(m.v.Part)
+	o := c.owned(m.Part)
 	if o == nil || !c.canAnswer(now) {
 		// A node that may not act answers so at once: a 200 that the worker
 		// has to drop would hold it here while its lease runs out.
-		if own := c.m.owns[m.v.Part]; own.v != nil && own.v.Node != c.cfg.HostName {
+		if own := c.m.owns[m.Part]; own.v != nil && own.v.Node != c.cfg.HostName {
 			return reply(421, map[string]string{"steward": own.v.Node})
 		}
 		return reply(421, struct{}{})
 	}
 	s := c.session(r.Host, o)
-	if r.Baton > o.term {
-		// Somebody with a later term speaks for this machine. Either we were
-		// superseded, which the mirror will show, or a term got lost on the
-		// way; then a new one is taken.
-		c.log.Info("higher baton seen", "host", r.Host, "baton", r.Baton, "term", o.term)
-		if r.Baton <= c.m.term {
+	if s.Stale(r, now, reportPatience) {
+		return errBusy // nobody waits for it, and it says nothing about now
+	}
+	if part.TermOf(r.Baton) > o.term {
+		// It has seen a token above ours, so it drops what we say. When the term
+		// record knows it, somebody else has taken the part.
+		if part.TermOf(r.Baton) <= c.m.term {
 			o.bump = true
 		}
 		return reply(421, struct{}{})
 	}
-	if m.v.Addr != r.Addr && r.Addr != "" {
-		m.v.Addr = r.Addr // the record may have been made before the address was known
+	if m.Addr != r.Addr && r.Addr != "" {
+		m.Addr = r.Addr // the record may have been made before the address was known
+	}
+	s.Last = [2]uint64{r.Tenure, r.Tick}
+	if part.TermOf(r.Baton) < o.term {
+		// Not heard of us yet. One that was answered and reports as before does
+		// not hear: our answers renew no lease there, and to count them would
+		// keep its tasks waiting for ever.
+		dead := s.Dead(now, c.cfg.LeaseBound())
+		if s.Unheard >= mostUnheard {
+			if dead {
+				s.Unheard = 0 // nothing runs there any more: it may try again
+			}
+			return errBusy
+		}
+		s.Unheard++
+		s.Answered = now
+		return reply(200, api.Orders{Baton: s.Baton(), Orders: []api.Order{}})
 	}
 	orders := []api.Order{}
 	if c.accept(r.Host, s, r) {
-		orders = c.orders(r.Host, s, now)
+		orders = c.orders(r, s, now)
 	}
-	s.Answered, s.Seen = now, now
-	return reply(200, api.Orders{Baton: o.term, Orders: orders})
+	s.Answered = now
+	return reply(200, api.Orders{Baton: s.Baton(), Orders: orders})
 }
 
+// reportPatience is how long a worker waits for an answer (PROTOCOL).
+const reportPatience = 4 * time.Second
+
+// mostUnheard is how often in a row a worker may show that it did not hear an
+// answer before it counts as deaf: answers get lost now and then.
+const mostUnheard = 3
+
 // stranger notes a machine that has no record, to be recorded in a part of its
 // zone. One whose record was dropped is gone, and names are never used again:
 // what a cut held back, or a list that lags, must not bring it back as a ghost
@@ -76,23 +104,29 @@
 // orders compares what is committed for a machine with what it reported, and
 // tells it the difference. Nothing is remembered between reports, so a lost
 // answer costs a round and no more. Call with the lock held.
-func (c *Controller) orders(host string, s *part.Session, now time.Time) []api.Order {
+//
+// What it decides to be over rests on the report itself, never on the answer to
+// a direct command: a worker has one report in flight, so a report shows what
+// became of the answers to those before, which a command's answer does not.
+func (c *Controller) orders(r *api.Checkin, s *part.Session, now time.Time) []api.Order {
+	host := r.Host
 	act := c.canAct(now)
 	out := []api.Order{}
 	if !act {
 		return out // what is committed may have changed where we can't see it
 	}
-	type attempt struct {
-		name string
-		try  uint64
-	}
 	listed := map[attempt]*api.PieceState{}
-	for i := range s.Report.Pieces {
-		p := &s.Report.Pieces[i]
+	for i := range r.Pieces {
+		p := &r.Pieces[i]
 		listed[attempt{p.Piece, p.Try}] = p
 	}
 	wanted := map[attempt]bool{}
 	zero := 0.0
+	release := func(id string, x part.Release) {
+		x.At = now
+		s.Releases[id] = x
+		c.poke()
+	}
 	for id, pl := range c.m.onHost[host] {
 		j := c.m.jobs[pl.uid]
 		if j == nil {
@@ -103,6 +137,9 @@
 		wanted[a] = true
 		l := listed[a]
 		_, released := s.Releases[id]
+		if l != nil {
+			delete(s.Sent, id)
+		}
 		if l != nil && l.Phase == api.Running && s.Started[id].Try != pl.p.Try {
 			s.Started[id] = part.Start{Try: pl.p.Try, At: now}
 			c.log.Info("task running", "task", name, "try", pl.p.Try, "host", host)
@@ -113,7 +150,7 @@
 			if !released {
 				done := l.Cause == api.CauseDone
 				failed := l.Cause == api.CauseError || l.Cause == api.CauseUnknown
-				s.Releases[id] = part.Release{Try: pl.p.Try, Done: done, Failed: failed}
+				release(id, part.Release{Try: pl.p.Try, Done: done && j.main.Run.Shape == api.Sweep, Failed: failed})
 				if st := s.Started[id]; done && st.Try == pl.p.Try && j.main.Run.GuessS > 0 {
 					c.observe(j.main.Run.Lane, now.Sub(st.At).Seconds()/j.main.Run.GuessS)
 				}
@@ -130,8 +167,23 @@
 		case l == nil && stop && !released:
 			// Never launched, or gone with an earlier session: this report was
 			// made after any answer of ours that launched it, and no later one will.
-			s.Releases[id] = part.Release{Try: pl.p.Try}
+			release(id, part.Release{Try: pl.p.Try})
+		case l == nil && !released && (s.Deaf || s.Sent[id].Try == pl.p.Try && s.Sent[id].N >= mostUnheard):
+			// It is not there, and no answer given so far will start it: this
+			// report was made after the worker took in or gave up on each of
+			// them. A worker that does not hear must not keep its tasks waiting.
+			if !s.Deaf {
+				s.Deaf = true
+				s.Raise(now)
+				c.log.Info("worker does not obey", "host", host, "task", name, "launches", s.Sent[id].N)
+			}
+			release(id, part.Release{Try: pl.p.Try})
 		case l == nil && !released && !s.Dead(now, c.cfg.LeaseBound()):
+			if x := s.Sent[id]; x.Try == pl.p.Try {
+				s.Sent[id] = part.Sent{Try: x.Try, N: x.N + 1}
+			} else {
+				s.Sent[id] = part.Sent{Try: pl.p.Try, N: 1}
+			}
 			out = append(out, api.Order{Verb: api.Launch, Piece: name, Try: pl.p.Try})
 		}
 	}
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -19,12 +19,12 @@
 const (
 	live    = "live/"
 	jobKey  = live + "j/" // + uid: main record
-	taskKey = live + "t/" // + uid/chunk
+	taskKey = live + "t/" // + uid/chunk, of jobs whose tasks don't fit the main record
 	partKey = live + "p/" // + part: free-room record
 	ownKey  = live + "o/" // + part: owner, under its hold
 	nodeKey = live + "n/" // + node: alive, under its hold
-	hostKey = live + "m/" // + host: machine
-	teamKey = live + "q/" // + team's place in the settings: usage
+	pageKey = live + "m/" // + what names of machines have in common: those machines
+	teamKey = live + "q/" // + team: shares of its limit
 	termKey = live + "term"
 	pastKey = "past/" // + uid
 )
@@ -47,6 +47,7 @@
 // versions it rests on.
 type mirror struct {
 	log    *slog.Logger
+	gen    uint64            // rises with every change
 	epoch  uint64            // all changes up to here are in
 	stamps map[string]uint64 // of present keys
 	tombs  map[string]uint64 // of keys dropped at revisions that the watch has yet to reach
@@ -55,13 +56,15 @@
 	parts  map[string]value[part.Record]
 	owns   map[string]value[part.Own]
 	nodes  map[string]value[part.Own]
-	hosts  map[string]value[part.Machine]
+	pages  map[string]value[part.Page]
+	hosts  map[string]*part.Machine // of all pages
 	teams  map[string]value[part.Usage]
 	term   uint64
 	onHost map[string]map[string]*placed // host -> task -> place
 	images map[string]map[string]bool    // host -> images that tasks were put there with
 	gone   map[string]bool               // machines that were forgotten: they are gone for good
 	onJob  func(*job.Main)               // hears of each job that appears
+	onTask func(host string)             // hears of machines where tasks were placed, or are to leave
 }
 
 // placed is one placement, found by its machine.
@@ -72,10 +75,10 @@
 	p     *job.Place
 }
 
-func newMirror(log *slog.Logger, onJob func(*job.Main)) *mirror {
-	return &mirror{log: log, onJob: onJob, stamps: map[string]uint64{}, tombs: map[string]uint64{}, jobs: map[string]*liveJob{},
+func newMirror(log *slog.Logger, onJob func(*job.Main), onTask func(string)) *mirror {
+	return &mirror{log: log, onJob: onJob, onTask: onTask, stamps: map[string]uint64{}, tombs: map[string]uint64{}, jobs: map[string]*liveJob{},
 		orphan: map[string]map[int]value[job.Chunk]{}, parts: map[string]value[part.Record]{}, owns: map[string]value[part.Own]{},
-		nodes: map[string]value[part.Own]{}, hosts: map[string]value[part.Machine]{}, teams: map[string]value[part.Usage]{},
+		nodes: map[string]value[part.Own]{}, pages: map[string]value[part.Page]{}, hosts: map[string]*part.Machine{}, teams: map[string]value[part.Usage]{},
 		onHost: map[string]map[string]*placed{}, images: map[string]map[string]bool{}, gone: map[string]bool{}}
 }
 
@@ -86,6 +89,7 @@
 	if stamp <= m.stamps[key] || stamp <= m.tombs[key] || !strings.HasPrefix(key, live) {
 		return
 	}
+	m.gen++
 	if raw == nil {
 		delete(m.stamps, key)
 		if stamp > m.epoch {
@@ -116,16 +120,8 @@
 		err = set(m.owns, id, raw, stamp)
 	case nodeKey:
 		err = set(m.nodes, id, raw, stamp)
-	case hostKey:
-		err = set(m.hosts, id, raw, stamp)
-		if raw == nil {
-			delete(m.images, id)
-			const most = 4096 // names of some ten bytes
-			if len(m.gone) >= most {
-				clear(m.gone)
-			}
-			m.gone[id] = true
-		}
+	case pageKey:
+		err = m.applyPage(id, raw, stamp)
 	case teamKey:
 		err = set(m.teams, id, raw, stamp)
 	}
@@ -147,9 +143,56 @@
 	return nil
 }
 
+// applyPage takes in a group of machines.
+func (m *mirror) applyPage(id string, raw json.RawMessage, stamp uint64) error {
+	old := m.pages[id]
+	if err := set(m.pages, id, raw, stamp); err != nil {
+		return err
+	}
+	page := m.pages[id].v
+	if old.v != nil {
+		for host := range *old.v {
+			if page != nil && (*page)[host] != nil {
+				continue
+			}
+			delete(m.hosts, host)
+			delete(m.images, host)
+			const most = 8192 // names of some ten bytes
+			if len(m.gone) >= most {
+				clear(m.gone)
+			}
+			m.gone[host] = true
+		}
+	}
+	if page == nil {
+		return nil
+	}
+	for host, x := range *page {
+		if was := m.hosts[host]; was != nil && x.Addr == "" {
+			x.Addr = was.Addr // learned from a report or a list
+		}
+		m.hosts[host] = x
+	}
+	return nil
+}
+
+// pageOf names the page of a machine: names that differ only in their last
+// characters share one, as many as surely fit a value.
+func (c *Controller) pageOf(host string) string {
+	const bytes = 160 // of one machine at most
+	cut := 1
+	if c.cfg.Facts.State.ValueKB*1024 >= 100*bytes {
+		cut = 2
+	}
+	return host[:max(len(host)-cut, 0)] + "-"
+}
+
 func (m *mirror) applyJob(uid string, raw json.RawMessage, stamp uint64) error {
 	if raw == nil {
 		if j := m.jobs[uid]; j != nil {
+			if j.main.Inner {
+				m.setChunk(uid, j.chunks, 0, nil, stamp)
+			}
 			if len(j.chunks) > 0 {
 				m.orphan[uid] = j.chunks // their drops follow
 			}
@@ -172,6 +215,9 @@
 		m.onJob(v)
 	}
 	j.main, j.stamp = v, stamp
+	if v.Inner {
+		m.setChunk(uid, j.chunks, 0, v.Only, stamp)
+	}
 	return nil
 }
 
@@ -194,17 +240,24 @@
 		chunks = map[int]value[job.Chunk]{}
 		m.orphan[uid] = chunks
 	}
-	if old := chunks[n].v; old != nil {
+	m.setChunk(uid, chunks, n, c, stamp)
+	if len(m.orphan[uid]) == 0 {
+		delete(m.orphan, uid)
+	}
+	return nil
+}
+
+// setChunk replaces a chunk and with it what is placed on machines.
+func (m *mirror) setChunk(uid string, chunks map[int]value[job.Chunk], n int, c *job.Chunk, stamp uint64) {
+	old := chunks[n].v
+	if old != nil {
 		for i, p := range old.Places {
 			m.unplace(uid, n, i, p)
 		}
 	}
 	if c == nil {
 		delete(chunks, n)
-		if len(m.orphan[uid]) == 0 {
-			delete(m.orphan, uid)
-		}
-		return nil
+		return
 	}
 	chunks[n] = value[job.Chunk]{c, stamp}
 	for i, p := range c.Places {
@@ -220,8 +273,10 @@
 			}
 			m.images[p.Host][j.main.Run.Bundle] = true
 		}
+		if was := old.PlaceOf(i); was == nil || *was != *p {
+			m.onTask(p.Host)
+		}
 	}
-	return nil
 }
 
 // taskID names a placement within this process; the task's own name needs the
@@ -274,6 +329,14 @@
 // need is the room that a task of the job takes.
 func need(r *api.Run) sched.Room { return sched.Room{CPUs: r.CPUs, GPUs: r.GPUs, MemGB: r.MemGB} }
 
+// chunkAt gives the key and version of the record that holds chunk n.
+func (j *liveJob) chunkAt(n int) (string, uint64) {
+	if j.main.Inner {
+		return jobKey + j.main.Run.UID, j.stamp
+	}
+	return taskKey + j.main.Run.UID + "/" + strconv.Itoa(n), j.chunks[n].stamp
+}
+
 // stateOf tells users of a living job.
 func (j *liveJob) stateOf() api.State {
 	s := api.State{UID: j.main.Run.UID, Phase: api.Pending, Done: j.main.FinishedTasks()}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -81,6 +81,11 @@
 	if !c.loaded && c.reach.store {
 		return errBusy
 	}
+	// But one that reaches neither the state service nor any peer is cut off
+	// itself: it can say nothing to its users and lets them go.
+	if !c.reach.store && c.now().Sub(c.reach.since) > c.cfg.HoldTTL()/2 && c.reach.asked && len(c.reach.peers) == 0 {
+		return errBusy
+	}
 	return reply(200, map[string]string{"node": c.cfg.HostName})
 }
 
@@ -175,10 +180,12 @@
 	if !c.reached() {
 		return errBusy
 	}
-	m := &job.Main{Run: *r, Part: c.cfg.HostName, AtMS: c.now().UnixMilli(), Chunk: job.ChunkSize(c.cfg.Facts.State.ValueKB)}
-	if float64(len(api.JSON(m))) > c.cfg.Facts.State.ValueKB*1024*7/8 { // room for what is added later
+	m := &job.Main{Run: *r, Part: c.cfg.HostName, AtMS: c.now().UnixMilli()}
+	size := len(api.JSON(m))
+	if size > c.valueRoom() { // room for what is added later
 		return reply(400, map[string]string{"error": "submission too long"})
 	}
+	m.Fit(c.cfg.Facts.State.ValueKB, size)
 	a := &accept{ctx: ctx, main: m, out: make(chan transport.Response, 1)}
 	if !c.enqueue(a) {
 		return errBusy
@@ -252,10 +259,13 @@
 // they came together: half of what a transaction takes, so that one batch does
 // not use up the writes that decisions need.
 func (c *Controller) commitLine() {
-	most := max(1, c.cfg.Facts.State.TxnOps/2)
+	most := max(1, min(c.cfg.Facts.State.TxnOps/2, int(c.cfg.Facts.State.WriteRPS/float64(c.cfg.Facts.Size)/2)))
 	var batch, rest []*accept
 	c.line.Lock()
 	for _, a := range c.line.queue {
+		if a.ctx.Err() != nil {
+			continue // its user was told to come back, and may be asking elsewhere
+		}
 		if len(batch) < most && !sameUID(batch, a) {
 			batch = append(batch, a)
 		} else {
@@ -265,7 +275,9 @@
 	c.line.queue = rest
 	c.line.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), userPatience)
-	c.acceptBatch(ctx, batch)
+	if len(batch) > 0 {
+		c.acceptBatch(ctx, batch)
+	}
 	cancel()
 	c.line.Lock()
 	more := len(c.line.queue) > 0
@@ -294,7 +306,7 @@
 			t.guard(pastKey+uid, 0)
 			t.write(jobKey+uid, a.main)
 		}
-		done, failed, err := c.commit(ctx, t, store.Submission)
+		done, failed, err := c.commit(ctx, "accepted", t, store.Submission)
 		if done {
 			for _, a := range batch {
 				uid := a.main.Run.UID
@@ -365,7 +377,7 @@
 		m.Gone = true
 		t.write(jobKey+uid, m)
 		c.mu.Unlock()
-		done, _, err := c.commit(ctx, t, store.Decision)
+		done, _, err := c.commit(ctx, "cancelled", t, store.Decision)
 		if err != nil {
 			return errBusy
 		}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -26,6 +26,7 @@
 	w       *standin.World
 	nodes   []*simNode
 	held    []func()             // reports held back by cuts
+	copies  []func()             // reports that arrived, to arrive once more, late
 	answers map[string]*inFlight // answers on their way to workers
 	uids    []string
 	log     *slog.Logger
@@ -160,10 +161,13 @@
 		x.Node = (to + 1) % len(s.nodes)
 		return
 	}
+	if len(s.copies) < 64 {
+		s.copies = append(s.copies, func() { s.deliver(to, body) })
+	}
 	sent, tenure := s.w.Now, x.Tenure
 	status, o, steward := s.deliver(to, body)
 	switch {
-	case f == answerLost:
+	case f == answerLost || x.Deaf:
 		x.Node = (to + 1) % len(s.nodes)
 	case status == 200 && f == answerSlow:
 		s.answers[x.Host] = &inFlight{o, sent, tenure}
@@ -249,13 +253,14 @@
 func (s *sim) heal() {
 	s.w.Store.Down, s.w.Cloud.Down, s.w.Cloud.Full = false, false, false
 	clear(s.w.Store.Refuse)
+	clear(s.w.Store.Cut)
 	for i, n := range s.nodes {
 		if !n.up {
 			s.start(i)
 		}
 	}
 	for _, x := range s.w.Cloud.Hosts {
-		x.Cut = false
+		x.Cut, x.Deaf = false, false
 	}
 }
 
@@ -292,7 +297,7 @@
 	}
 	for h, m := range c.m.hosts {
 		x := s.w.Cloud.Hosts[h]
-		out += fmt.Sprintf(" host %s %s there %t up %t", h, api.JSON(m.v), x != nil, x != nil && x.Up())
+		out += fmt.Sprintf(" host %s %s there %t up %t", h, api.JSON(m), x != nil, x != nil && x.Up())
 	}
 	for _, n := range s.nodes {
 		p := n.c.plan(n.c.now())
@@ -413,7 +418,23 @@
 				x.RecallS = &left
 			}
 		},
-		"cut": func(t *rapid.T) { x := host(t); x.Cut = !x.Cut },
+		"cut":  func(t *rapid.T) { x := host(t); x.Cut = !x.Cut },
+		"deaf": func(t *rapid.T) { x := host(t); x.Deaf = !x.Deaf },
+		"cutStore": func(t *rapid.T) { // a controller keeps its workers, but loses the state service
+			n := s.nodes[node(t)].name
+			s.w.Store.Cut[n] = !s.w.Store.Cut[n]
+		},
+		"copies": func(t *rapid.T) { // reports of some time ago arrive once more
+			if len(s.copies) == 0 {
+				t.Skip("none")
+			}
+			for range rapid.IntRange(1, 8).Draw(t, "copies") {
+				rapid.SampledFrom(s.copies).Draw(t, "copy")()
+			}
+			if rapid.Bool().Draw(t, "newer") {
+				s.copies = nil
+			}
+		},
 		"deliver": func(t *rapid.T) { // what cuts held back arrives
 			held := s.held
 			s.held = nil
@@ -457,7 +478,12 @@
 			t.Fatalf("%v", s.w.Broken)
 		}
 		for _, id := range s.uids {
-			s.poll(0, id)
+			for i, n := range s.nodes { // a job that nobody answers for is forgotten
+				r := n.c.query(context.Background(), id)
+				if s.told(id, r.Status, r.Body, false); s.w.Jobs[id].Told && r.Status != 200 {
+					t.Fatalf("%s: node %d answers %d after all troubles", id, i, r.Status)
+				}
+			}
 			j := s.w.Jobs[id]
 			on := 0
 			for _, x := range s.w.Cloud.Hosts {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -21,8 +21,26 @@
 	Gone  bool    `json:"w,omitempty"` // withdrawn, some tasks may still be on machines
 	Fin   []int   `json:"f,omitempty"` // chunks that are done, as ranges [from, to, from, to, ...)
 	Zone  string  `json:"z,omitempty"` // the zone of a job whose tasks go together, once chosen
+	Inner bool    `json:"i,omitempty"` // its one chunk is kept here, not in a record of its own
+	Only  *Chunk  `json:"o,omitempty"` // that chunk, once touched
 }
 
+// Fit decides how the job's tasks are recorded. A job whose tasks all fit into
+// its main record needs no other one: half as many changes for it.
+func (m *Main) Fit(valueKB float64, size int) {
+	m.Chunk = ChunkSize(valueKB)
+	if m.Run.Pieces <= m.Chunk && size+m.Run.Pieces*entry+mainExtra <= int(valueKB*1024) {
+		m.Inner = true
+	}
+}
+
+// bytes of one place at most, host names of 20 bytes included, and of what a
+// main record gets besides.
+const (
+	entry     = 80
+	mainExtra = 256
+)
+
 // Past is what stays of a job that is over.
 type Past struct {
 	Phase string `json:"phase"`
@@ -48,7 +66,6 @@
 // ChunkSize is the number of tasks in a chunk, such that its record fits a
 // value of the state service even with every task placed.
 func ChunkSize(valueKB float64) int {
-	const entry = 80 // bytes of one place at most, host names of 20 bytes included
 	return min(max(int(valueKB*1024)/entry/2*2, 2), 512)
 }
 
@@ -150,6 +167,14 @@
 	return n
 }
 
+// PlaceOf gives where task i is placed, nil if nowhere.
+func (c *Chunk) PlaceOf(i int) *Place {
+	if c == nil {
+		return nil
+	}
+	return c.Places[i]
+}
+
 // Put places task i on a machine and gives the new attempt's number. Numbers
 // only rise, so that no attempt of a task is ever confused with another.
 func (c *Chunk) Put(i int, host string, atS int64) uint64 {
@@ -190,6 +215,11 @@
 	if m.Chunk < 1 || m.Run.Pieces < 1 {
 		return nil, fmt.Errorf("job record of %q: no tasks", m.Run.UID)
 	}
+	if m.Only != nil {
+		if err := m.Only.check(); err != nil {
+			return nil, err
+		}
+	}
 	return &m, nil
 }
 
@@ -199,11 +229,15 @@
 	if err := json.Unmarshal(raw, &c); err != nil {
 		return nil, err
 	}
+	return &c, c.check()
+}
+
+func (c *Chunk) check() error {
 	if _, err := base64.RawStdEncoding.DecodeString(c.Bits); err != nil {
-		return nil, err
+		return err
 	}
 	if c.Places == nil {
 		c.Places = map[int]*Place{}
 	}
-	return &c, nil
+	return nil
 }
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -36,6 +36,28 @@
 	}
 }
 
+// A job whose tasks are kept in its main record never outgrows a value, however
+// its tasks are placed.
+func TestInnerRecordFits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kb := float64(rapid.IntRange(1, 16).Draw(t, "kb"))
+		m := &Main{Run: api.Run{UID: "run-000001", Pieces: rapid.IntRange(1, 300).Draw(t, "pieces"), Bundle: string(make([]byte, rapid.IntRange(0, 500).Draw(t, "bundle")))}, Part: "node-0", AtMS: 1 << 41}
+		m.Fit(kb, len(api.JSON(m)))
+		if !m.Inner {
+			return
+		}
+		m.Only, m.Zone, m.Gone, m.Fin = (*Chunk)(nil).Copy(), "zone-of-some-length", true, []int{0, 1}
+		m.Only.Tries, m.Only.Errors = 1<<40, 1<<20
+		for i := range m.Run.Pieces {
+			m.Only.Put(i, fmt.Sprintf("i-%012d", i), 1<<20)
+			m.Only.Places[i].Stop = true
+		}
+		if raw := api.JSON(m); len(raw) > int(kb*1024) {
+			t.Fatalf("%d bytes of %g KiB with %d tasks", len(raw), kb, m.Run.Pieces)
+		}
+	})
+}
+
 // The chunk against a plain model of its tasks.
 func TestChunkModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -5,6 +5,10 @@
 package part
 
 import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"violetturn/internal/api"
@@ -27,7 +31,92 @@
 	By       string                `json:"by"`            // the owner of that term
 	Released bool                  `json:"rel,omitempty"` // that owner has stopped answering and said so
 	Doubt    bool                  `json:"d,omitempty"`   // an owner before that one may still be answering, within its grace
-	Free     map[string][3]float64 `json:"free"`          // room of the machines that can take tasks
+	Free     Free                  `json:"free"`          // room of the machines that can take tasks
+	Use      map[string][3]float64 `json:"u,omitempty"`   // by limited team, what its tasks hold in this part
+}
+
+// Free is the room of machines by name. Its recorded form names each amount
+// once with all the machines that have it: a part of hundreds of machines has
+// to fit one value of the state service.
+type Free map[string][3]float64
+
+type freeGroup struct {
+	Room  [3]float64 `json:"r"`
+	Hosts []string   `json:"h"`
+}
+
+// MarshalJSON implements json.Marshaler.
+func (f Free) MarshalJSON() ([]byte, error) {
+	at := map[[3]float64]int{}
+	groups := []freeGroup{}
+	for _, h := range slices.Sorted(maps.Keys(f)) {
+		v := f[h]
+		i, ok := at[v]
+		if !ok {
+			i = len(groups)
+			at[v] = i
+			groups = append(groups, freeGroup{Room: v})
+		}
+		groups[i].Hosts = append(groups[i].Hosts, h)
+	}
+	return json.Marshal(groups)
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (f *Free) UnmarshalJSON(b []byte) error {
+	var groups []freeGroup
+	if err := json.Unmarshal(b, &groups); err != nil {
+		return err
+	}
+	*f = Free{}
+	for _, g := range groups {
+		for _, h := range g.Hosts {
+			(*f)[h] = g.Room
+		}
+	}
+	return nil
+}
+
+// Trim leaves out machines until the recorded form surely takes at most size
+// bytes: those with the least room first, which are missed least. It tells how
+// many it left out.
+func (f Free) Trim(size int) int {
+	const group, name = 60, 4 // bytes around an amount and around a name
+	total := 2
+	seen := map[[3]float64]bool{}
+	for h, v := range f {
+		total += len(h) + name
+		if !seen[v] {
+			seen[v] = true
+			total += group
+		}
+	}
+	if total <= size {
+		return 0
+	}
+	names := slices.SortedFunc(maps.Keys(f), func(a, b string) int {
+		x, y := f[a], f[b]
+		return cmp.Or(cmp.Compare(x[1], y[1]), cmp.Compare(x[0], y[0]), cmp.Compare(a, b))
+	})
+	out := 0
+	for total > size && out < len(names) {
+		// The amount it shared with others stays: the estimate is kept high.
+		total -= len(names[out]) + name
+		delete(f, names[out])
+		out++
+		if out%16 == 0 || total <= size { // count again now and then what amounts are left
+			seen = map[[3]float64]bool{}
+			total = 2
+			for h, v := range f {
+				total += len(h) + name
+				if !seen[v] {
+					seen[v] = true
+					total += group
+				}
+			}
+		}
+	}
+	return out
 }
 
 // Machine is a machine's record: which part it belongs to, and what it is.
@@ -41,11 +130,29 @@
 	AtMS    int64  `json:"at"`          // time of day when it was recorded
 }
 
-// Usage is a team's record: what its tasks hold in each part.
+// Page is the record of the machines whose names differ only in their last
+// characters: machines come in groups with names in a row, so that a group is
+// recorded with few changes.
+type Page map[string]*Machine
+
+// Usage is a team's record: the share of its limit that each part may use. What
+// the team's tasks hold in a part stands in the part's record, which changes
+// with every placement there; a share changes only together with that record.
 type Usage struct {
 	Held map[string][3]float64 `json:"u"`
 }
 
+// BatonOf gives the token of a term after so many raises. Terms rise globally,
+// so every token of a later term is above all of an earlier one; within its
+// term an owner raises a worker's token to have it report, or to see that it
+// hears.
+func BatonOf(term, raises uint64) uint64 { return term<<raiseBits | min(raises, 1<<raiseBits-1) }
+
+// TermOf gives the term of a token.
+func TermOf(baton uint64) uint64 { return baton >> raiseBits }
+
+const raiseBits = 20
+
 // Vec and Unvec turn room into its recorded form and back.
 func Vec(r sched.Room) [3]float64 { return [3]float64{round(r.CPUs), round(r.GPUs), round(r.MemGB)} }
 
@@ -61,6 +168,7 @@
 type Release struct {
 	Try          uint64
 	Done, Failed bool
+	At           time.Time // when it was taken
 }
 
 // Start is when an attempt was first seen running.
@@ -85,31 +193,71 @@
 	Idle     time.Time        // since when it has no task; zero: it has some
 	Loose    time.Time        // since when its few replicas would fit elsewhere; zero: they don't
 	Drain    bool             // it takes no more tasks: it is to be returned
-	Asked    time.Time        // when a fence was last sent
+	Asked    time.Time        // when a fence or a nudge was last sent
+	Raises   uint64           // how often its token was raised under this term
+	RaisedAt time.Time        // when last
+	Deaf     bool             // its session ended although it was answered: it takes no task until it is heard to obey
+	Unheard  int              // answers to reports that showed an older term still
+	FencedAt time.Time        // since when
+	Last     [2]uint64        // session and number of its newest report, believed or not; answers to direct commands apart
+	Sent     map[string]Sent  // launches that were answered and not yet seen
 	Listed   bool             // the cloud has listed it
-	Missing  int              // lists in a row that lacked it since
+	Missing  int              // lists in a row that lacked it
 	Avoid    time.Time        // it refused a task for want of room: none is put there until then
 }
 
+// Sent counts the answers that carried the launch of an attempt.
+type Sent struct {
+	Try uint64
+	N   int
+}
+
 // NewSession starts a worker's session under a term. answered is the latest
 // time at which an earlier owner can have answered it.
 func NewSession(term uint64, now, answered time.Time) *Session {
-	return &Session{Term: term, Since: now, Answered: answered, Releases: map[string]Release{}, Errors: map[string]bool{}, Started: map[string]Start{}}
+	return &Session{Term: term, Since: now, Answered: answered, Releases: map[string]Release{}, Errors: map[string]bool{}, Started: map[string]Start{}, Sent: map[string]Sent{}}
 }
 
-// Accept takes a report if it can be believed: made after the worker saw this
-// term, and newer than what was taken before. A report under an older token may
-// have been held back by a cut since before our predecessor's last commands, so
-// it shows nothing about now.
-func (s *Session) Accept(c *api.Checkin) bool {
-	if c.Baton != s.Term {
+// Baton is the token for answers to this worker: the highest that it can have
+// seen from us, or it would drop the answer.
+func (s *Session) Baton() uint64 { return BatonOf(s.Term, s.Raises) }
+
+// Raise raises the worker's token, which its next answer or command brings.
+func (s *Session) Raise(now time.Time) { s.Raises++; s.RaisedAt = now }
+
+// Stale tells whether a report is no newer than one that came before: a copy
+// that comes late. Its sender no longer waits for an answer, and it shows
+// nothing about now, not even that the machine lives. So is one of an earlier
+// term long after the worker has said that it has seen ours; shortly after, one
+// may still be on its way.
+func (s *Session) Stale(c *api.Checkin, now time.Time, flight time.Duration) bool {
+	return s.Last != [2]uint64{} && !c.Newer(s.Last[0], s.Last[1]) ||
+		s.Fenced && TermOf(c.Baton) < s.Term && now.Sub(s.FencedAt) > flight
+}
+
+// Accept takes what a worker reports if it can be believed: made after the
+// worker saw this term. A report under an older term may have been held back by
+// a cut since before our predecessor's last commands, so it shows nothing about
+// now. The newest is kept, be it a report or the answer to a direct command.
+func (s *Session) Accept(c *api.Checkin, now time.Time) bool {
+	if TermOf(c.Baton) != s.Term {
 		return false
 	}
-	if s.Report != nil && !c.Newer(s.Report.Tenure, s.Report.Tick) {
-		return false
+	if s.Report != nil && c.Tenure > s.Report.Tenure && !s.Deaf {
+		// Its lease ran out although we answered, or could have: perhaps it
+		// hears nothing. Only a token raised from now on shows that it does.
+		s.Deaf = true
+		s.Raise(now)
+	} else if s.Deaf && c.Baton >= s.Baton() {
+		s.Deaf = false
+	}
+	s.Unheard = 0
+	if !s.Fenced {
+		s.Fenced, s.FencedAt = true, now
+	}
+	if s.Report == nil || c.Newer(s.Report.Tenure, s.Report.Tick) {
+		s.Report = c
 	}
-	s.Fenced = true
-	s.Report = c
 	return true
 }
 
--- a/internal/sched/rent.go
+++ b/internal/sched/rent.go
@@ -25,24 +25,23 @@
 
 // Plan tells what to rent for the unmet tasks, after filling the machines that
 // are coming already. Of the offers that fit, the one that is cheapest for the
-// task is taken; home breaks a tie between zones. room limits the number of
-// machines in all.
-func Plan(unmet []Unmet, coming []*Host, offers []Offer, home string, room int) []Order {
+// task is taken; home breaks a tie between zones.
+func Plan(unmet []Unmet, coming []*Host, offers []Offer, home string) []Order {
 	var orders []Order
 	hosts := slices.Clone(coming)
+	var full []*Host // without accelerators left: most tasks need not look at them
 	for i := range unmet {
 		u := &unmet[i]
 		for range u.Count {
 			h := FullestFit(hosts, &u.Ask)
+			if h == nil && u.Ask.Need.GPUs == 0 {
+				h = FullestFit(full, &u.Ask)
+			}
 			if h == nil {
-				if room <= 0 {
-					break
-				}
 				o := cheapest(offers, &u.Ask, home)
 				if o == nil {
 					break
 				}
-				room--
 				h = &Host{Name: "new", Build: o.Build, Site: o.Site, Loaners: o.Loaners, Cap: o.Cap, Free: o.Cap}
 				hosts = append(hosts, h)
 				k := slices.IndexFunc(orders, func(x Order) bool { return x.Offer == *o })
@@ -53,6 +52,10 @@
 				orders[k].Count++
 			}
 			h.Free = h.Free.Sub(u.Ask.Need)
+			if h.Free.CPUs < eps || h.Cap.GPUs > 0 && h.Free.GPUs < eps {
+				hosts = slices.DeleteFunc(hosts, func(x *Host) bool { return x == h })
+				full = append(full, h)
+			}
 			if u.Placed != nil {
 				u.Placed(h.Site)
 			}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -106,7 +106,7 @@
 		}
 		slots := 2 * len(coming)
 		n := 0
-		for _, o := range Plan(u, coming, offers, "y", 100) {
+		for _, o := range Plan(u, coming, offers, "y") {
 			n += o.Count
 			if o.Offer.Loaners != u[0].Ask.Loaners || !o.Offer.Loaners && o.Offer.Site != "y" {
 				t.Fatalf("not the cheapest, or not at home: %+v", o)
@@ -116,12 +116,53 @@
 		if n != (want+1)/2 {
 			t.Fatalf("%d machines for %d tasks", n, want)
 		}
-		if got := Plan(u, nil, nil, "y", 100); got != nil {
+		if got := Plan(u, nil, nil, "y"); got != nil {
 			t.Fatalf("rented without offers: %v", got)
 		}
 	})
 }
 
+// Shares of a limit, taken and given back by parts in any order, never sum up to
+// more than the limit, cover what is used, and keep little from the others when
+// the limit is near.
+func TestShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := Room{GPUs: float64(rapid.IntRange(1, 200).Draw(t, "limit"))}
+		held, use := [3]Room{}, [3]Room{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			p := rapid.IntRange(0, 2).Draw(t, "part")
+			others := held[(p+1)%3].Add(held[(p+2)%3])
+			want := max(0, use[p].GPUs+float64(rapid.IntRange(-9, 9).Draw(t, "change")))
+			if n := (Room{GPUs: want}); Within(limit, held[p], n) {
+				use[p] = n
+			} else if h, ok := Share(limit, others, n); ok {
+				held[p], use[p] = h, n
+			} else if others.GPUs+want <= limit.GPUs {
+				t.Fatalf("%v refused of %v with %v held elsewhere", want, limit.GPUs, others.GPUs)
+			}
+			if Excess(limit, others, held[p], use[p]) {
+				h, ok := Share(limit, others, use[p])
+				if !ok {
+					t.Fatal("can't give back")
+				}
+				if held[p] = h; Excess(limit, others, h, use[p]) {
+					t.Fatal("gives back too little")
+				}
+			}
+			sum := 0.0
+			for q := range 3 {
+				sum += held[q].GPUs
+				if !Within(limit, held[q], use[q]) {
+					t.Fatalf("uses %v of %v", use[q], held[q])
+				}
+			}
+			if sum > limit.GPUs+eps {
+				t.Fatalf("%v held of %v", sum, limit.GPUs)
+			}
+		}
+	})
+}
+
 // The gang of the paper's Algorithm 2: it holds no more than it needs, is
 // complete only with all its room, sleeps after a miss, and releases all claims
 // after more misses in a row than the retry count.
--- a/internal/standin/machines.go
+++ b/internal/standin/machines.go
@@ -140,8 +140,9 @@
 	Loaners                 bool
 	Tenure, Tick, Baton     uint64
 	Tasks                   []*Task
-	Node                    int // the controller it reports to
-	Cut                     bool
+	Node                    int  // the controller it reports to
+	Cut                     bool // no message passes, either way
+	Deaf                    bool // its reports arrive, answers and commands don't reach it
 	RecallS                 *float64
 
 	rented, upAt, goneAt time.Time
@@ -189,7 +190,7 @@
 		case t.phase == api.Pulling && x.w.Now.Sub(t.since) >= x.w.Flavor.Pull:
 			t.phase, t.since = api.Running, x.w.Now
 			x.w.started(x, t)
-		case t.phase == api.Running && j.Run.Shape == api.Sweep && x.w.Now.Sub(t.since) >= j.RunTime:
+		case t.phase == api.Running && j.Run.Shape == api.Sweep && x.w.Now.Sub(t.since) >= j.RunTime+time.Duration(t.index)*j.Step:
 			t.phase, t.cause = api.Ended, api.CauseDone
 			j.Done[t.index] = true
 		case t.phase == api.Saving && !x.w.Now.Before(t.saveUntil):
@@ -299,6 +300,9 @@
 			}
 			return x.Report(), ok
 		}
+		if x.Deaf {
+			break
+		}
 		if x.Cut {
 			d.Held = append(d.Held, func() { run() })
 			break
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -26,6 +26,8 @@
 	w      *World
 	Down   bool
 	Refuse map[string]bool  // nodes that get 503
+	Cut    map[string]bool  // nodes whose requests don't arrive
+	Writes int              // changes in transactions so far, those of refused ones too
 	Next   map[string]Fault // what happens to a node's next transaction
 	epoch  uint64
 	keys   map[string]item
@@ -126,12 +128,21 @@
 	ValueB int
 }
 
-func (c *Client) refused() bool { return c.S.Down || c.S.Refuse[c.Node] }
+// lost tells whether a request is not served: 503, or no answer at all.
+func (c *Client) lost() error {
+	switch {
+	case c.S.Cut[c.Node]:
+		return store.ErrUnknown
+	case c.S.Down || c.S.Refuse[c.Node]:
+		return store.ErrRefused
+	}
+	return nil
+}
 
 // Get reads a key.
 func (c *Client) Get(_ context.Context, key string, _ store.Rank) (store.Item, bool, error) {
-	if c.refused() {
-		return store.Item{}, false, store.ErrRefused
+	if err := c.lost(); err != nil {
+		return store.Item{}, false, err
 	}
 	it, ok := c.S.keys[key]
 	return store.Item{Key: key, Value: it.v, Stamp: it.stamp}, ok, nil
@@ -139,8 +150,8 @@
 
 // List reads the keys with a prefix.
 func (c *Client) List(_ context.Context, prefix string) ([]store.Item, uint64, error) {
-	if c.refused() {
-		return nil, 0, store.ErrRefused
+	if err := c.lost(); err != nil {
+		return nil, 0, err
 	}
 	var out []store.Item
 	for k, it := range c.S.keys {
@@ -154,8 +165,8 @@
 
 // Changes reads the changes since a revision; it never waits.
 func (c *Client) Changes(_ context.Context, prefix string, since uint64, _ time.Duration) ([]store.Change, uint64, error) {
-	if c.refused() {
-		return nil, 0, store.ErrRefused
+	if err := c.lost(); err != nil {
+		return nil, 0, err
 	}
 	var out []store.Change
 	for _, e := range c.S.log {
@@ -168,9 +179,10 @@
 
 // Multi commits a transaction, or meets the fault set for it.
 func (c *Client) Multi(_ context.Context, t *store.Txn, _ store.Rank) (uint64, bool, []string, error) {
-	if c.refused() {
-		return 0, false, nil, store.ErrRefused
+	if err := c.lost(); err != nil {
+		return 0, false, nil, err
 	}
+	c.S.Writes += len(t.Then)
 	if len(t.Then) > c.TxnOps || len(t.Guards) > 4*c.TxnOps {
 		c.S.w.Break("limits", "transaction of %d changes, %d guards", len(t.Then), len(t.Guards))
 	}
@@ -194,10 +206,13 @@
 	return c.S.apply(t)
 }
 
+// Ready tells that any number of changes can be sent.
+func (c *Client) Ready(_ context.Context, n int, _ store.Rank) int { return n }
+
 // Hold makes a hold.
 func (c *Client) Hold(_ context.Context, ttl time.Duration) (uint64, error) {
-	if c.refused() {
-		return 0, store.ErrRefused
+	if err := c.lost(); err != nil {
+		return 0, err
 	}
 	c.S.permit++
 	c.S.holds[c.S.permit] = &hold{ttl, c.S.w.Now.Add(ttl)}
@@ -206,8 +221,8 @@
 
 // Touch renews a hold.
 func (c *Client) Touch(_ context.Context, permit uint64) error {
-	if c.refused() {
-		return store.ErrRefused
+	if err := c.lost(); err != nil {
+		return err
 	}
 	h := c.S.holds[permit]
 	if h == nil {
@@ -219,8 +234,8 @@
 
 // Release ends a hold.
 func (c *Client) Release(_ context.Context, permit uint64) error {
-	if c.refused() {
-		return store.ErrRefused
+	if err := c.lost(); err != nil {
+		return err
 	}
 	c.S.end(permit)
 	return nil
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -42,6 +42,7 @@
 type Job struct {
 	Run       api.Run
 	RunTime   time.Duration // of a task
+	Step      time.Duration // by how much longer each next task runs
 	Told      bool          // a user was told that it is accepted
 	Phase     string        // last phase told, if it was done or withdrawn
 	AskedStop bool          // a user asked for its cancellation
@@ -52,7 +53,7 @@
 // New makes a world.
 func New(start time.Time) *World {
 	w := &World{Now: start, Jobs: map[string]*Job{}, Limits: map[string]float64{}}
-	w.Store = &Store{w: w, keys: map[string]item{}, holds: map[uint64]*hold{}, Refuse: map[string]bool{}, Next: map[string]Fault{}}
+	w.Store = &Store{w: w, keys: map[string]item{}, holds: map[uint64]*hold{}, Refuse: map[string]bool{}, Cut: map[string]bool{}, Next: map[string]Fault{}}
 	w.Cloud = &Cloud{w: w, Hosts: map[string]*Worker{}, hires: map[string][]string{}, Next: map[string]Fault{}}
 	return w
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -112,6 +112,26 @@
 	}
 }
 
+// Ready waits until some changes can be sent, n at best, and tells how many. What
+// is put together only then rests on what is newest when it is sent: a
+// transaction that first waits for its budget is overtaken by others meanwhile.
+func (c *Client) Ready(ctx context.Context, n int, r Rank) int {
+	until := time.Now().Add(c.deadline)
+	n = min(n, int(c.writes.Burst()*(1-reserve[r])))
+	for {
+		now := time.Now()
+		have := int(c.writes.Has(now, reserve[r]))
+		if have >= n || now.After(until) {
+			return have
+		}
+		select {
+		case <-time.After(c.writes.In(float64(n - have))):
+		case <-ctx.Done():
+			return 0
+		}
+	}
+}
+
 func (c *Client) do(ctx context.Context, method, target string, body any, writes int, r Rank, extra time.Duration) (*httpwire.Message, error) {
 	until := time.Now().Add(c.deadline)
 	if writes > 0 {
--- a/internal/transport/budget.go
+++ b/internal/transport/budget.go
@@ -40,6 +40,23 @@
 	return time.Duration((need - b.have) / b.rate * float64(time.Second)), false
 }
 
+// Has tells how many tokens can be taken now that leave the share reserve.
+func (b *Budget) Has(now time.Time, reserve float64) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.last.IsZero() {
+		b.have = min(b.burst, b.have+now.Sub(b.last).Seconds()*b.rate)
+	}
+	b.last = now
+	return b.have - reserve*b.burst
+}
+
+// Burst is how many tokens the bucket holds.
+func (b *Budget) Burst() float64 { return b.burst }
+
+// In tells how long n tokens take to come.
+func (b *Budget) In(n float64) time.Duration { return time.Duration(n / b.rate * float64(time.Second)) }
+
 // Used tells how many tokens were taken in all.
 func (b *Budget) Used() float64 {
 	b.mu.Lock()
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -145,6 +145,16 @@
 // is ErrNoResponse leaves open whether the request was carried out; any other
 // error means that it was never sent.
 func (c *Client) Do(ctx context.Context, addr, method, target string, body []byte, deadline time.Duration) (*httpwire.Message, error) {
+	return c.do(ctx, addr, method, target, body, deadline, true)
+}
+
+// Once does the same over a connection that is closed afterwards: for addresses
+// of which there are more than sockets to keep.
+func (c *Client) Once(ctx context.Context, addr, method, target string, body []byte, deadline time.Duration) (*httpwire.Message, error) {
+	return c.do(ctx, addr, method, target, body, deadline, false)
+}
+
+func (c *Client) do(ctx context.Context, addr, method, target string, body []byte, deadline time.Duration, keep bool) (*httpwire.Message, error) {
 	ctx, cancel := context.WithTimeout(ctx, deadline)
 	defer cancel()
 	cc, err := c.get(ctx, addr)
@@ -168,7 +178,11 @@
 		if r.err != nil {
 			return nil, r.err
 		}
-		if !r.msg.Close {
+		switch {
+		case r.msg.Close:
+		case !keep:
+			_ = cc.conn.Close()
+		default:
 			c.mu.Lock()
 			c.idle[addr] = append(c.idle[addr], cc)
 			c.mu.Unlock()
@@ -182,14 +196,3 @@
 		return nil, ErrNoResponse
 	}
 }
-
-// Forget closes the kept connections to an address that is no longer used.
-func (c *Client) Forget(addr string) {
-	c.mu.Lock()
-	l := c.idle[addr]
-	delete(c.idle, addr)
-	c.mu.Unlock()
-	for _, cc := range l {
-		_ = cc.conn.Close()
-	}
-}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, false, fmt.Errorf("worker command: %w", err)
 	}
-	m, err := c.http.Do(ctx, addr, "POST", "/commands", b, c.deadline)
+	m, err := c.http.Once(ctx, addr, "POST", "/commands", b, c.deadline)
 	if err != nil {
 		return nil, false, err
 	}
