Swaps, saved-up changes, images first among jobs of one weight; ends known from the watch

Ruled out: leases and owners; all parts were held throughout. Changed: how a job ended is known from the watch; reads for users are apart; a claim on others' room is one transaction with the marks of those that leave, and the owner's answer stops the ones and starts the other; controllers may save up changes; room goes first to jobs of the same weight whose image the machine has.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -187,6 +187,12 @@
 	return min(s.Report()/12, secs(float64(s.Facts.Size)/s.Facts.State.WriteRPS))
 }
 
+// ReadEvery is how far apart reads for users' questions are at least: about a
+// quarter of this controller's share of the request rate.
+func (s *Settings) ReadEvery() time.Duration {
+	return secs(4 * float64(s.Facts.Size) / s.Facts.State.RPS)
+}
+
 // HoldTTL is the life of a controller's hold: two report rounds, so that
 // others take over before the workers' leases run out.
 func (s *Settings) HoldTTL() time.Duration {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -58,6 +58,7 @@
 	log     *slog.Logger
 	now     func() time.Time
 	spawn   func(func()) // runs work aside
+	stepped bool         // time is advanced from outside: nothing may wait for it
 	store   stateService
 	cloud   cloudService
 	workers workerService
@@ -76,7 +77,8 @@
 
 	barrier struct {
 		sync.Mutex
-		next    *barrier // those who asked after the read under way was sent
+		last    time.Time // when the last read was sent
+		next    *barrier  // those who asked after the read under way was sent
 		reading bool
 	}
 
@@ -143,7 +145,7 @@
 	n := float64(cfg.Facts.Size)
 	c := newController(cfg, policy, log)
 	c.http = h
-	c.store = store.New(h, cfg.External.State, cfg.HoldTTL()/3, cfg.Facts.State.RPS/n, cfg.Facts.State.WriteRPS/n, c.storeAnswered)
+	c.store = store.New(h, cfg.External.State, cfg.HoldTTL()/3, cfg.Facts.State.RPS/n, cfg.Facts.State.WriteRPS/n, max(cfg.Facts.State.WriteRPS/n, 0.6*cfg.Facts.State.WriteRPS), c.storeAnswered)
 	c.cloud = cloud.New(h, cfg.External.Cloud, 3*time.Second, cfg.Facts.Cloud.RPS/n)
 	c.workers = worker.New(h, cfg.Report())
 	c.peers = peer.New(h)
@@ -165,6 +167,7 @@
 		retryAt: map[string]time.Time{}, errSeen: map[string]int{}, news: map[string]bool{}, commits: map[string]commits{}, arrivals: map[string][]arrival{}, bias: map[string]float64{},
 		reach: reach{store: true, peers: map[string]bool{}}, renting: renting{inDoubt: map[sched.Offer]cloud.Rental{}, seen: map[string]time.Time{}}}
 	c.m = newMirror(log, c.arrived, func(host string) { c.news[host] = true })
+	c.m.onEnd = c.remember
 	c.parts = append(c.parts, cfg.HostName)
 	for _, m := range cfg.Members {
 		c.parts = append(c.parts, m.HostName)
@@ -345,6 +348,18 @@
 	return nil
 }
 
+// newest brings the mirror up to now for a decision, which need not share its
+// read with users.
+func (c *Controller) newest(ctx context.Context) error {
+	c.mu.Lock()
+	loaded, since := c.loaded, c.m.epoch
+	c.mu.Unlock()
+	if !loaded {
+		return store.ErrRefused
+	}
+	return c.catchUp(ctx, since, 0)
+}
+
 // barrier is one read of the changes and those who wait for it.
 type barrier struct {
 	done chan struct{}
@@ -378,9 +393,19 @@
 
 // readFor reads the changes for those waiting and sees to it that others who
 // came meanwhile are read for next.
+//
+// Reads are a little apart, so that the polls of hundreds of users take a fixed
+// part of the request budget; a lone question is not held up.
 func (c *Controller) readFor(ctx context.Context, b *barrier) {
+	c.barrier.Lock()
+	wait := c.cfg.ReadEvery() - c.now().Sub(c.barrier.last)
+	c.barrier.Unlock()
+	if wait > 0 && !c.stepped {
+		sleep(ctx, wait)
+	}
 	c.barrier.Lock()
 	c.barrier.next = nil
+	c.barrier.last = c.now()
 	c.barrier.Unlock()
 	c.mu.Lock()
 	loaded, since := c.loaded, c.m.epoch
--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -47,7 +47,7 @@
 func (c *Controller) decide(ctx context.Context) {
 	// Under load the budget of changes sets the pace: what comes together while
 	// it fills goes into few large transactions instead of many small ones.
-	if !c.acting() || c.store.Ready(ctx, c.cfg.Facts.State.TxnOps, store.Decision) < 2 || c.fresh(ctx) != nil {
+	if !c.acting() || c.store.Ready(ctx, min(c.cfg.Facts.State.TxnOps, c.secondsWrites()), store.Decision) < 2 || c.newest(ctx) != nil {
 		return
 	}
 	steps := []func(context.Context) bool{c.recordStrangers, c.releaseRound, c.retireRound, c.placeRound, c.upkeepRound, c.forgetRound}
@@ -64,6 +64,11 @@
 	c.nudgeRound(ctx)
 }
 
+// secondsWrites is this controller's share of the changes of a second.
+func (c *Controller) secondsWrites() int {
+	return max(2, int(c.cfg.Facts.State.WriteRPS/float64(c.cfg.Facts.Size)))
+}
+
 func (c *Controller) acting() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -181,7 +186,15 @@
 }
 
 func (c *Controller) edit() *edit {
-	return &edit{c: c, t: newTxn(), jobs: map[string]*liveJob{}, mains: map[string]*job.Main{}, chunks: map[chunkID]*job.Chunk{}, drops: map[chunkID]bool{}, most: c.cfg.Facts.State.TxnOps}
+	return &edit{c: c, t: newTxn(), jobs: map[string]*liveJob{}, mains: map[string]*job.Main{}, chunks: map[chunkID]*job.Chunk{}, drops: map[chunkID]bool{}, most: c.most()}
+}
+
+// most is how many changes a transaction may have now: what the budget holds, so
+// that one of many changes does not keep others waiting for as long as it takes
+// to earn them, and at least as many as one step needs.
+func (c *Controller) most() int {
+	const step = 4
+	return min(c.cfg.Facts.State.TxnOps, max(step, c.store.Ready(context.Background(), 0, store.Decision)))
 }
 
 // main gives a copy of the job's main record to be changed.
@@ -366,12 +379,12 @@
 		return true
 	}
 	if j.main.Gone {
-		return now.Sub(ends[0].rel.At) > c.cfg.Lease()/2
+		return now.Sub(ends[0].rel.At) > c.cfg.Lease()
 	}
 	team, _ := c.cfg.Team(j.main.Run.Owner)
 	for _, e := range ends {
 		s := c.sessions[e.pl.p.Host]
-		if !e.rel.Done || s == nil || s.Drain || s.Gone || now.Sub(e.rel.At) > c.cfg.Lease()/2 {
+		if !e.rel.Done || s == nil || s.Drain || s.Gone || now.Sub(e.rel.At) > 2*c.cfg.Lease() {
 			return true
 		}
 	}
@@ -408,11 +421,15 @@
 		if !c.due(k, ends, now) {
 			continue
 		}
-		if e.full(3, 0) {
+		j := c.m.jobs[k.uid]
+		cost := 3 // chunk, main record and past record
+		if j.main.Inner {
+			cost = 2
+		}
+		if e.full(cost, 0) {
 			more = true // the rest goes into the next transaction
 			break
 		}
-		j := c.m.jobs[k.uid]
 		r := &j.main.Run
 		ch := e.chunk(j, k.n)
 		for _, x := range ends {
@@ -497,7 +514,7 @@
 		// Every placement in a part changes its record. Looking at the newest
 		// one first costs a request, being overtaken costs all changes.
 		room := c.store.Ready(ctx, min(jobsOf(todo)+len(c.parts), c.cfg.Facts.State.TxnOps), store.Decision)
-		if room < 2 || !c.acting() || c.fresh(ctx) != nil {
+		if room < 2 || !c.acting() || c.newest(ctx) != nil {
 			return false
 		}
 		c.mu.Lock()
@@ -519,8 +536,24 @@
 			return false
 		}
 	}
-	if len(pl.stops) > 0 {
-		c.stop(ctx, pl.stops)
+	for todo := pl.swaps; len(todo) > 0; {
+		room := c.store.Ready(ctx, min(2*len(todo)+len(c.parts), c.cfg.Facts.State.TxnOps), store.Decision)
+		if room < 3 || !c.acting() || c.newest(ctx) != nil {
+			return false
+		}
+		c.mu.Lock()
+		t, rest, said := c.swapTxn(todo, room, c.now())
+		c.mu.Unlock()
+		if t == nil {
+			break
+		}
+		if done, _, _ := c.commit(ctx, "swaps", t, store.Decision); !done {
+			break // planned anew
+		}
+		for _, l := range said {
+			c.log.Info("task takes the room of others", l...)
+		}
+		todo = rest
 	}
 	return false
 }
@@ -562,96 +595,187 @@
 	return x
 }
 
+// claims are the parts that a transaction takes room of.
+type claims struct {
+	c    *Controller
+	by   map[string]*claim
+	more int // changes of other records than jobs'
+}
+
+// take checks one placement against what there is now and claims its room; cost
+// is how many changes it adds besides the job's own. Nothing is claimed before
+// ok is called.
+func (x *claims) take(pl placement, fits bool, now time.Time) (j *liveJob, cost int, ok func()) {
+	c := x.c
+	j = c.m.jobs[pl.uid]
+	if j == nil || j.main.Gone || j.main.Finished(pl.chunk) || c.owned(j.main.Part) == nil {
+		return nil, 0, nil
+	}
+	old := j.chunks[pl.chunk].v
+	if old.PlaceOf(pl.index) != nil || old.Done(pl.index) {
+		return nil, 0, nil
+	}
+	p := pl.host.Part
+	cl, open := x.by[p], true
+	if cl == nil {
+		if cl, open = c.claimOn(p, now), false; cl == nil {
+			return nil, 0, nil
+		}
+		cost++
+	}
+	r := &j.main.Run
+	n := need(r)
+	f, in := cl.free[pl.host.Name]
+	if fits && (!in || !part.Unvec(f).Fits(n)) {
+		return nil, 0, nil // the record has moved on
+	}
+	use := part.Unvec(cl.use[r.Owner]).Add(n)
+	share, grown, within := c.share(r.Owner, p, use, cl.shares, x.by)
+	if !within {
+		return nil, 0, nil // the team's limit
+	}
+	if grown {
+		cost++
+	}
+	return j, cost, func() {
+		if !open {
+			x.by[p] = cl
+			x.more++
+		}
+		if team, _ := c.cfg.Team(r.Owner); team.Limited() {
+			cl.use[r.Owner] = part.Vec(use)
+			if grown {
+				cl.shares[r.Owner] = share
+				x.more++
+			}
+		}
+		if fits {
+			cl.free[pl.host.Name] = part.Vec(part.Unvec(f).Sub(n))
+		} else {
+			delete(cl.free, pl.host.Name) // its owner tells what is free when the others have left
+		}
+	}
+}
+
+// write writes the parts' records and shares.
+func (x *claims) write(t *txn) {
+	shares := map[string]map[string]sched.Room{}
+	for p, cl := range x.by {
+		x.c.writePart(t, p, cl.free, cl.use)
+		shares[p] = cl.shares
+	}
+	x.c.writeShares(t, shares)
+}
+
+// put places a task and tells what to log of it. Call with the lock held.
+func (c *Controller) put(e *edit, j *liveJob, x placement, now time.Time) []any {
+	r := &j.main.Run
+	c.guardOwn(e.t, j.main.Part)
+	e.t.guard(jobKey+r.UID, j.stamp)
+	ch := e.chunk(j, x.chunk)
+	if r.Together && j.main.Zone == "" {
+		e.main(j).Zone = x.host.Site
+	}
+	try := ch.Put(x.index, x.host.Name, max(0, (now.UnixMilli()-j.main.AtMS)/1000))
+	return []any{"task", api.PieceName(r.UID, x.chunk*j.main.Chunk+x.index), "try", try, "host", x.host.Name, "part", x.host.Part, "own", x.host.Part == j.main.Part, "image", r.Bundle, "warm", x.host.Warm[r.Bundle]}
+}
+
+// zoneOK tells whether the job's other tasks leave a zone to one of its tasks;
+// zs keeps what was worked out for each job.
+func (c *Controller) zoneOK(zs map[string]*zones, j *liveJob, x placement) bool {
+	z := zs[x.uid]
+	if z == nil {
+		z = c.zonesOf(j)
+		zs[x.uid] = z
+	}
+	return z.ok(x.chunk, x.host.Site)
+}
+
 // placeTxn commits as many placements as a transaction and the budget take. The
 // plan may be older than the mirror, so each is looked at again. Call with the
 // lock held.
 func (c *Controller) placeTxn(todo []placement, room int, now time.Time) (t *txn, rest []placement, said [][]any) {
 	e := c.edit()
 	e.most = min(e.most, room)
-	claims := map[string]*claim{}
+	cl := &claims{c: c, by: map[string]*claim{}}
 	zs := map[string]*zones{}
-	others := 0 // changes of other records than jobs'
 	for i, x := range todo {
-		j := c.m.jobs[x.uid]
-		if j == nil || j.main.Gone || j.main.Finished(x.chunk) {
-			continue
-		}
-		old := j.chunks[x.chunk].v
-		if old.PlaceOf(x.index) != nil || old.Done(x.index) {
+		j, more, ok := cl.take(x, true, now)
+		if j == nil || !c.zoneOK(zs, j, x) {
 			continue
 		}
-		p := x.host.Part
-		cl, more := claims[p], 0
-		if cl == nil {
-			if cl = c.claimOn(p, now); cl == nil {
-				continue
-			}
+		more += e.cost(j, x.chunk)
+		if j.main.Run.Together && j.main.Zone == "" {
 			more++
 		}
-		r := &j.main.Run
-		n := need(r)
-		f, ok := cl.free[x.host.Name]
-		if !ok || !part.Unvec(f).Fits(n) {
-			continue // the record has moved on
-		}
-		z := zs[x.uid]
-		if z == nil {
-			z = c.zonesOf(j)
-			zs[x.uid] = z
+		if more > 0 && e.full(more, cl.more) {
+			rest = append(rest, todo[i:]...)
+			break
 		}
-		if !z.ok(x.chunk, x.host.Site) {
+		ok()
+		said = append(said, c.put(e, j, x, now))
+		zs[x.uid].add(x.chunk, x.host.Site)
+	}
+	if len(said) == 0 {
+		return nil, nil, nil
+	}
+	t = e.txn()
+	cl.write(t)
+	return t, rest, said
+}
+
+// swapTxn commits placements on machines together with the marks for those who
+// have to leave them: the owner's next answer stops the ones and starts the
+// other, instead of a round of commits and reports for each. Call with the lock
+// held.
+func (c *Controller) swapTxn(todo []swap, room int, now time.Time) (t *txn, rest []swap, said [][]any) {
+	e := c.edit()
+	e.most = min(e.most, room)
+	cl := &claims{c: c, by: map[string]*claim{}}
+	zs := map[string]*zones{}
+	for i, x := range todo {
+		j, more, ok := cl.take(x.placement, false, now)
+		if j == nil || !c.zoneOK(zs, j, x.placement) {
 			continue
 		}
-		share, grown, ok := c.share(r.Owner, p, part.Unvec(cl.use[r.Owner]).Add(n), cl.shares, claims)
-		if !ok {
-			continue // the team's limit
-		}
-		pin := r.Together && j.main.Zone == ""
 		more += e.cost(j, x.chunk)
-		if pin {
+		if j.main.Run.Together && j.main.Zone == "" {
 			more++
 		}
-		if grown {
-			more++
+		gone := false
+		for _, v := range x.victims {
+			k := c.m.jobs[v.uid]
+			if k == nil {
+				gone = true
+				break
+			}
+			p := k.chunks[v.chunk].v.PlaceOf(v.index)
+			gone = gone || p == nil || p.Try != v.p.Try || p.Stop
+			more += e.cost(k, v.chunk)
+		}
+		if gone {
+			continue // the room may be free by now: planned anew
 		}
-		if more > 0 && e.full(more, others) {
+		if e.full(more, cl.more) {
 			rest = append(rest, todo[i:]...)
 			break
 		}
-		if !c.guardOwn(e.t, j.main.Part) {
-			continue
-		}
-		if claims[p] == nil {
-			claims[p] = cl
-			others++
+		ok()
+		for _, v := range x.victims {
+			e.chunk(c.m.jobs[v.uid], v.chunk).Places[v.index].Stop = true
 		}
-		e.t.guard(jobKey+r.UID, j.stamp)
-		ch := e.chunk(j, x.chunk)
-		if pin {
-			e.main(j).Zone = x.host.Site
+		line := c.put(e, j, x.placement, now)
+		for _, v := range x.victims {
+			line = append(line, "leaves", v.name(c.m.jobs[v.uid]))
 		}
-		if team, _ := c.cfg.Team(r.Owner); team.Limited() {
-			cl.use[r.Owner] = part.Vec(part.Unvec(cl.use[r.Owner]).Add(n))
-			if grown {
-				cl.shares[r.Owner] = share
-				others++
-			}
-		}
-		cl.free[x.host.Name] = part.Vec(part.Unvec(f).Sub(n))
-		z.add(x.chunk, x.host.Site)
-		try := ch.Put(x.index, x.host.Name, max(0, (now.UnixMilli()-j.main.AtMS)/1000))
-		said = append(said, []any{"task", api.PieceName(r.UID, x.chunk*j.main.Chunk+x.index), "try", try, "host", x.host.Name, "part", p, "own", p == j.main.Part})
+		said = append(said, line)
+		zs[x.uid].add(x.chunk, x.host.Site)
 	}
 	if len(said) == 0 {
 		return nil, nil, nil
 	}
 	t = e.txn()
-	shares := map[string]map[string]sched.Room{}
-	for p, cl := range claims {
-		c.writePart(t, p, cl.free, cl.use)
-		shares[p] = cl.shares
-	}
-	c.writeShares(t, shares)
+	cl.write(t)
 	return t, rest, said
 }
 
@@ -680,44 +804,6 @@
 	return more, true, ok
 }
 
-// stop marks tasks that have to leave their machines for others. The owner of
-// the machine's part sees the mark and stops them.
-func (c *Controller) stop(ctx context.Context, stops []*placed) {
-	if c.fresh(ctx) != nil {
-		return
-	}
-	c.mu.Lock()
-	e := c.edit()
-	for p := range c.mine {
-		c.guardOwn(e.t, p)
-	}
-	var said [][]any
-	for _, x := range stops {
-		j := c.m.jobs[x.uid]
-		if j == nil {
-			continue
-		}
-		if p := j.chunks[x.chunk].v.PlaceOf(x.index); p == nil || p.Try != x.p.Try || p.Stop {
-			continue
-		}
-		if e.full(e.cost(j, x.chunk), 0) {
-			break
-		}
-		e.chunk(j, x.chunk).Places[x.index].Stop = true
-		said = append(said, []any{"job", x.uid, "task", x.index, "host", x.p.Host, "why", "preempted"})
-	}
-	t := e.txn()
-	c.mu.Unlock()
-	if len(said) == 0 {
-		return
-	}
-	if done, _, _ := c.commit(ctx, "stops", t, store.Decision); done {
-		for _, l := range said {
-			c.log.Info("task is to leave", l...)
-		}
-	}
-}
-
 // upkeepRound writes an own part's record when its machines or their room have
 // changed, at intervals: placements there write it anyway.
 func (c *Controller) upkeepRound(ctx context.Context) bool {
@@ -770,6 +856,7 @@
 	t := newTxn()
 	pages := map[string]part.Page{}
 	var names []string
+	size := 0 // bytes of the pages
 	count := map[string]int{}
 	for _, m := range c.m.hosts {
 		count[m.Part]++
@@ -783,7 +870,7 @@
 		id := c.pageOf(host)
 		page, open := pages[id]
 		if !open {
-			if len(pages) == c.cfg.Facts.State.TxnOps || len(pages) > 0 && (len(pages)+1)*int(c.cfg.Facts.State.ValueKB*1024) > 60<<10 {
+			if len(pages) >= c.most() || size > 48<<10-int(c.cfg.Facts.State.ValueKB*1024) {
 				break
 			}
 			page = part.Page{}
@@ -794,12 +881,16 @@
 		m.Part = c.partFor(m.Site, count)
 		m.AtMS = c.now().UnixMilli()
 		page[host] = &m
-		if size := len(api.JSON(page)); size > c.valueRoom() {
-			c.log.Error("machine can't be recorded", "host", host, "why", "its page is full", "bytes", size)
+		bytes := len(api.JSON(page))
+		if bytes > c.valueRoom() {
+			c.log.Error("machine can't be recorded", "host", host, "why", "its page is full", "bytes", bytes)
 			delete(page, host)
 			delete(c.adopt, host)
 			continue
 		}
+		if !open {
+			size += bytes
+		}
 		pages[id] = page
 		count[m.Part]++
 		names = append(names, host)
@@ -855,6 +946,7 @@
 	}
 	t := newTxn()
 	pages := map[string]part.Page{}
+	size := 0 // bytes of the pages
 	var names []string
 	for host, s := range c.sessions {
 		m := c.m.hosts[host]
@@ -867,10 +959,11 @@
 		id := c.pageOf(host)
 		page, open := pages[id]
 		if !open {
-			if len(pages) == c.cfg.Facts.State.TxnOps/2 || len(pages) > 0 && (len(pages)+1)*int(c.cfg.Facts.State.ValueKB*1024) > 60<<10 {
+			if len(pages) >= c.most() || size > 48<<10-int(c.cfg.Facts.State.ValueKB*1024) {
 				continue
 			}
 			page = maps.Clone(*c.m.pages[id].v)
+			size += len(api.JSON(page))
 			pages[id] = page
 		}
 		c.guardOwn(t, m.Part)
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -24,10 +24,16 @@
 	host  *sched.Host
 }
 
+// swap is a task that takes the room of others that have to leave.
+type swap struct {
+	placement
+	victims []*placed
+}
+
 // plan is what this node would do now, seen from one state of the mirror.
 type plan struct {
 	places []placement
-	stops  []*placed // tasks to stop for others
+	swaps  []swap
 	unmet  []sched.Unmet
 	all    []sched.Unmet // what found no room at once, peers' jobs included
 	left   []*sched.Host // all machines with the room that is left after all that
@@ -373,6 +379,7 @@
 		return cmp.Or(-cmp.Compare(a.weight, b.weight), -compareBool(a.mine, b.mine))
 	})
 	var lack []*lacking
+	var jobs []*lacking
 	for _, q := range queue {
 		r := &q.j.main.Run
 		if q.mine && c.backingOff(q, now) {
@@ -380,48 +387,83 @@
 		}
 		ask := askOf(r)
 		ask.PullS = c.pull(r)
-		ask.Warm = c.slack(r.Lane, r, ask.PullS) < 2*c.cfg.Report().Seconds()
-		z := c.zonesOf(q.j)
+		// Fetches may be a third slower than told.
+		ask.Warm = c.slack(r.Lane, r, 1.5*ask.PullS) < c.cfg.Report().Seconds()
+		l := &lacking{q: q, ask: ask, z: c.zonesOf(q.j)}
+		q.j.pending(func(t task) bool {
+			l.tasks = append(l.tasks, t)
+			return len(l.tasks) < 1024
+		})
+		if len(l.tasks) > 0 {
+			jobs = append(jobs, l)
+		}
+	}
+	// place puts what it can of a job's tasks on machines, with its image only or
+	// any, and leaves the rest.
+	place := func(l *lacking, warm bool) {
+		r := &l.q.j.main.Run
 		team, _ := c.cfg.Team(r.Owner)
-		l := &lacking{q: q, ask: ask, z: z}
 		misses := map[int]bool{}
-		q.j.pending(func(t task) bool {
+		rest := l.tasks[:0]
+		for i, t := range l.tasks {
 			if team.Limited() {
-				u := use[team.Name].Add(ask.Need)
+				u := use[team.Name].Add(l.ask.Need)
 				if team.CPUsMax > 0 && u.CPUs > team.CPUsMax+1e-6 || team.GPUsMax > 0 && u.GPUs > team.GPUsMax+1e-6 {
-					return false
+					if warm {
+						rest = append(rest, l.tasks[i:]...)
+					}
+					break // what is beyond the limit lacks no room
 				}
-				use[team.Name] = u
 			}
-			a := ask
-			a.ZoneOK = func(site string) bool { return z.ok(t.chunk, site) }
+			a := l.ask
+			a.Has = warm
+			a.ZoneOK = func(site string) bool { return l.z.ok(t.chunk, site) }
 			var h *sched.Host
 			if !misses[t.chunk] || !r.Scatter && !misses[-1] {
-				h = sched.Choose(hosts, q.j.main.Part, &a, c.rnd)
+				h = sched.Choose(hosts, l.q.j.main.Part, &a, c.rnd)
 			}
 			if h == nil {
 				misses[t.chunk], misses[-1] = true, true
-				l.tasks = append(l.tasks, t)
-				return len(l.tasks) < 256 // more than could be rented for at once
+				if rest = append(rest, t); !warm {
+					use[team.Name] = use[team.Name].Add(a.Need)
+				}
+				continue
 			}
+			use[team.Name] = use[team.Name].Add(a.Need)
 			h.Free = h.Free.Sub(a.Need)
 			if !h.Free.Fits(least) {
 				hosts[h.Part] = without(hosts[h.Part], h)
 			}
-			z.add(t.chunk, h.Site)
-			if q.mine {
-				out.places = append(out.places, placement{q.uid, t.chunk, t.index, h})
+			l.z.add(t.chunk, h.Site)
+			if l.q.mine {
+				out.places = append(out.places, placement{l.q.uid, t.chunk, t.index, h})
 			}
 			if a.Daemon {
 				h.Daemons++
 			} else {
 				h.Sweeps++
 			}
-			return true
-		})
-		if len(l.tasks) > 0 {
-			lack = append(lack, l)
 		}
+		l.tasks = rest
+	}
+	// Among jobs of one weight a machine with room goes first to one whose image
+	// it has: fetches take a good part of the machines' time. One that starves
+	// takes what there is.
+	for i := 0; i < len(jobs); {
+		n := i + 1
+		for n < len(jobs) && jobs[n].q.weight == jobs[i].q.weight {
+			n++
+		}
+		for _, l := range jobs[i:n] {
+			place(l, !l.q.starving)
+		}
+		for _, l := range jobs[i:n] {
+			if place(l, false); len(l.tasks) > 0 {
+				l.tasks = l.tasks[:min(len(l.tasks), 256)] // more than could be rented for at once
+				lack = append(lack, l)
+			}
+		}
+		i = n
 	}
 	coming := c.vacating(all)
 	out.left = coming
@@ -457,7 +499,7 @@
 				prey = hunt.gather(l.q, &l.ask, 2*(len(l.tasks)-i)+16)
 			}
 			if v, h := hunt.victims(prey, &a); v != nil {
-				out.stops = append(out.stops, v...)
+				out.swaps = append(out.swaps, swap{placement{l.q.uid, t.chunk, t.index, h}, v})
 				for _, x := range v {
 					h.Free = h.Free.Add(need(&c.m.jobs[x.uid].main.Run))
 				}
@@ -563,12 +605,18 @@
 	if x.barren[kind] || len(x.hosts) == 0 {
 		return found
 	}
-	for i, from := 0, c.rnd.IntN(len(x.hosts)); i < len(x.hosts) && len(found) < most; i++ {
+	// Machines that have its image come first, then any, from a random one on.
+	from := c.rnd.IntN(len(x.hosts))
+	for i := 0; i < 2*len(x.hosts) && len(found) < most; i++ {
 		h := x.hosts[(from+i)%len(x.hosts)]
+		if warm := i < len(x.hosts); warm != h.Warm[a.Bundle] {
+			continue
+		}
 		p := &prey{h: h, by: map[string]*placed{}}
+		only := c.newestOn(h)
 		for id, pl := range c.m.onHost[h.Name] {
 			j := c.m.jobs[pl.uid]
-			if j == nil || j.main.Gone || pl.p.Stop || x.taken[pl] || !c.mayStop(q, &j.main.Run, x.over[pl.uid]) || c.over(h.Name, id, pl) {
+			if j == nil || only != nil && only != pl || j.main.Gone || pl.p.Stop || x.taken[pl] || !c.mayStop(q, &j.main.Run, x.over[pl.uid]) || c.over(h.Name, id, pl) {
 				continue
 			}
 			any = true
@@ -592,6 +640,33 @@
 	return found
 }
 
+// newestOn gives the task that was last placed on a peer's machine where more is
+// placed than there is room for: some have completed and others have taken their
+// room, but the ends are not committed yet and only the owner knows which. The
+// newest is the one that is surely there. It gives nil where all are.
+func (c *Controller) newestOn(h *sched.Host) *placed {
+	if c.owned(h.Part) != nil {
+		return nil
+	}
+	used := h.Free
+	var newest *placed
+	last := int64(0)
+	for _, pl := range c.m.onHost[h.Name] {
+		j := c.m.jobs[pl.uid]
+		if j == nil {
+			continue
+		}
+		used = used.Add(need(&j.main.Run))
+		if at := j.main.AtMS/1000 + pl.p.AtS; newest == nil || at > last {
+			newest, last = pl, at
+		}
+	}
+	if h.Cap.Fits(used) {
+		return nil
+	}
+	return newest
+}
+
 // victims picks what to stop for a task: on one machine, losing least.
 func (x *hunt) victims(from []*prey, a *sched.Ask) ([]*placed, *sched.Host) {
 	var best []*placed
@@ -605,7 +680,7 @@
 		if !p.h.Warm[a.Bundle] {
 			cost += a.PullS // the task waits for its image there
 			if a.Warm {
-				cost += 10 * a.PullS // and misses its aim
+				cost += never // and misses its aim: any machine that has it is better
 			}
 		}
 		if take == nil || best != nil && cost >= bestCost {
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -294,6 +294,9 @@
 		if s := c.sessions[h]; s != nil {
 			s.Gone = true
 		}
+		if m := c.m.hosts[h]; m != nil { // what was refused may be had again
+			delete(c.refused, offerKey(sched.Offer{Build: m.Build, Site: m.Site, Loaners: m.Loaners}))
+		}
 	}
 	c.mu.Unlock()
 	c.log.Info("machines returned", "hosts", back)
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -1,11 +1,14 @@
 package controller
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"violetturn/internal/api"
 	"violetturn/internal/httpwire"
 	"violetturn/internal/part"
+	"violetturn/internal/sched"
 	"violetturn/internal/transport"
 )
 
@@ -121,7 +124,12 @@
 		listed[attempt{p.Piece, p.Try}] = p
 	}
 	wanted := map[attempt]bool{}
+	var launch []start
+	leaving := false // some task is on its way out
 	zero := 0.0
+	// What runs on takes its room until a later report shows its end; what is
+	// stopped without saving leaves before the starts in the same answer.
+	left, flavor := c.capOf(r.Build)
 	release := func(id string, x part.Release) {
 		x.At = now
 		s.Releases[id] = x
@@ -157,6 +165,10 @@
 				c.ended(host, s, j, pl, l)
 			}
 		case l != nil && (stop || released):
+			leaving = true
+			if l.Phase == api.Saving || !j.main.Gone && j.main.Run.BookmarkS > 0 {
+				left = left.Sub(need(&j.main.Run))
+			}
 			if l.Phase != api.Saving || j.main.Gone {
 				leeway := zero
 				if !j.main.Gone && j.main.Run.BookmarkS > 0 {
@@ -179,12 +191,9 @@
 			}
 			release(id, part.Release{Try: pl.p.Try})
 		case l == nil && !released && !s.Dead(now, c.cfg.LeaseBound()):
-			if x := s.Sent[id]; x.Try == pl.p.Try {
-				s.Sent[id] = part.Sent{Try: x.Try, N: x.N + 1}
-			} else {
-				s.Sent[id] = part.Sent{Try: pl.p.Try, N: 1}
-			}
-			out = append(out, api.Order{Verb: api.Launch, Piece: name, Try: pl.p.Try})
+			launch = append(launch, start{id, a, need(&j.main.Run)})
+		case l != nil:
+			left = left.Sub(need(&j.main.Run))
 		}
 	}
 	for a, l := range listed {
@@ -196,9 +205,40 @@
 			out = append(out, api.Order{Verb: api.Halt, Piece: a.name, Try: a.try, LeewayS: &zero})
 		}
 	}
+	// Starts come last, and only those whose room is there: a task that takes
+	// another's room waits for one that saves.
+	slices.SortFunc(launch, func(a, b start) int { return cmp.Compare(a.id, b.id) })
+	for _, x := range launch {
+		sent := s.Sent[x.id]
+		if sent.Try != x.a.try {
+			sent = part.Sent{Try: x.a.try}
+		}
+		if flavor != nil && !left.Fits(x.need) {
+			// A peer may have taken the room of a task that had completed, whose
+			// end was not committed yet, when its room was another's already.
+			if sent.Blocked++; leaving {
+				sent.Blocked = 0
+			}
+			if s.Sent[x.id] = sent; sent.Blocked >= mostUnheard {
+				release(x.id, part.Release{Try: x.a.try})
+			}
+			continue
+		}
+		left = left.Sub(x.need)
+		sent.N, sent.Blocked = sent.N+1, 0
+		s.Sent[x.id] = sent
+		out = append(out, api.Order{Verb: api.Launch, Piece: x.a.name, Try: x.a.try})
+	}
 	return out
 }
 
+// start is an attempt to be launched.
+type start struct {
+	id   string
+	a    attempt
+	need sched.Room
+}
+
 // recalled tells whether the cloud takes the machine away so soon that the task
 // has to leave now; until then it runs on, for it may complete. Call with the
 // lock held.
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -46,25 +46,26 @@
 // cache: every decision that rests on it is committed under guards on the
 // versions it rests on.
 type mirror struct {
-	log    *slog.Logger
-	gen    uint64            // rises with every change
-	epoch  uint64            // all changes up to here are in
-	stamps map[string]uint64 // of present keys
-	tombs  map[string]uint64 // of keys dropped at revisions that the watch has yet to reach
-	jobs   map[string]*liveJob
-	orphan map[string]map[int]value[job.Chunk] // chunks whose main record is not here
-	parts  map[string]value[part.Record]
-	owns   map[string]value[part.Own]
-	nodes  map[string]value[part.Own]
-	pages  map[string]value[part.Page]
-	hosts  map[string]*part.Machine // of all pages
-	teams  map[string]value[part.Usage]
-	term   uint64
-	onHost map[string]map[string]*placed // host -> task -> place
-	images map[string]map[string]bool    // host -> images that tasks were put there with
-	gone   map[string]bool               // machines that were forgotten: they are gone for good
-	onJob  func(*job.Main)               // hears of each job that appears
-	onTask func(host string)             // hears of machines where tasks were placed, or are to leave
+	log     *slog.Logger
+	loading bool              // a full list is being taken in
+	epoch   uint64            // all changes up to here are in
+	stamps  map[string]uint64 // of present keys
+	tombs   map[string]uint64 // of keys dropped at revisions that the watch has yet to reach
+	jobs    map[string]*liveJob
+	orphan  map[string]map[int]value[job.Chunk] // chunks whose main record is not here
+	parts   map[string]value[part.Record]
+	owns    map[string]value[part.Own]
+	nodes   map[string]value[part.Own]
+	pages   map[string]value[part.Page]
+	hosts   map[string]*part.Machine // of all pages
+	teams   map[string]value[part.Usage]
+	term    uint64
+	onHost  map[string]map[string]*placed // host -> task -> place
+	images  map[string]map[string]bool    // host -> images that tasks were put there with
+	gone    map[string]bool               // machines that were forgotten: they are gone for good
+	onJob   func(*job.Main)               // hears of each job that appears
+	onEnd   func(string, job.Past)        // hears of each job that is over
+	onTask  func(host string)             // hears of machines where tasks were placed, or are to leave
 }
 
 // placed is one placement, found by its machine.
@@ -89,7 +90,6 @@
 	if stamp <= m.stamps[key] || stamp <= m.tombs[key] || !strings.HasPrefix(key, live) {
 		return
 	}
-	m.gen++
 	if raw == nil {
 		delete(m.stamps, key)
 		if stamp > m.epoch {
@@ -190,6 +190,9 @@
 func (m *mirror) applyJob(uid string, raw json.RawMessage, stamp uint64) error {
 	if raw == nil {
 		if j := m.jobs[uid]; j != nil {
+			if !m.loading && m.onEnd != nil {
+				m.onEnd(uid, j.pastOf())
+			}
 			if j.main.Inner {
 				m.setChunk(uid, j.chunks, 0, nil, stamp)
 			}
@@ -308,6 +311,8 @@
 
 // reload takes in a full list whose first page was of revision epoch.
 func (m *mirror) reload(items []store.Item, epoch uint64) {
+	m.loading = true // changes in between were missed: how a job ended is not known
+	defer func() { m.loading = false }()
 	present := make(map[string]bool, len(items))
 	for _, it := range items {
 		present[it.Key] = true
@@ -329,6 +334,17 @@
 // need is the room that a task of the job takes.
 func need(r *api.Run) sched.Room { return sched.Room{CPUs: r.CPUs, GPUs: r.GPUs, MemGB: r.MemGB} }
 
+// pastOf tells how a job ended whose record was just dropped, from the version
+// before, which is the last there was: each change of a record was seen, in
+// order. A job is dropped when it is withdrawn and empty, or else done. So users
+// who ask how it ended need no further read.
+func (j *liveJob) pastOf() job.Past {
+	if !j.main.Gone {
+		return job.Past{Phase: api.Done, Done: j.main.Run.Pieces}
+	}
+	return job.Past{Phase: api.Withdrawn, Done: j.stateOf().Done}
+}
+
 // chunkAt gives the key and version of the record that holds chunk n.
 func (j *liveJob) chunkAt(n int) (string, uint64) {
 	if j.main.Inner {
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -96,6 +96,7 @@
 		return s.w.Now.Add(time.Duration(float64(s.w.Now.Sub(begin)) * fast))
 	}
 	n.aside = nil
+	n.c.stepped = true
 	c := n.c
 	c.spawn = func(f func()) {
 		if n.c == c {
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -208,8 +208,9 @@
 
 // Sent counts the answers that carried the launch of an attempt.
 type Sent struct {
-	Try uint64
-	N   int
+	Try     uint64
+	N       int
+	Blocked int // reports in a row that left no room for it, nor any that is being left
 }
 
 // NewSession starts a worker's session under a term. answered is the latest
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -49,6 +49,7 @@
 	Daemon  bool                   // a service's replica
 	PullS   float64                // seconds that fetching its image takes
 	Warm    bool                   // fetching its image would miss its aim
+	Has     bool                   // only a machine that has its image will do
 	ZoneOK  func(site string) bool // what the job's other tasks leave; nil: any
 }
 
@@ -108,7 +109,7 @@
 		return h.Name < best.Name
 	}
 	for _, h := range hosts {
-		if !h.Free.Fits(a.Need) || !a.Allows(h.Build, h.Site, h.Loaners) {
+		if a.Has && !h.Warm[a.Bundle] || !h.Free.Fits(a.Need) || !a.Allows(h.Build, h.Site, h.Loaners) {
 			continue
 		}
 		if l := left(h, a.Need); better(h, l) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -86,10 +86,11 @@
 }
 
 // New makes a client. deadline bounds an ordinary request; rps and writeRPS are
-// this controller's share; onAnswer hears of each request whether the service
-// served it.
-func New(h *transport.Client, addr string, deadline time.Duration, rps, writeRPS float64, onAnswer func(ok bool)) *Client {
-	return &Client{http: h, addr: addr, deadline: deadline, reqs: transport.NewBudget(rps, rps), writes: transport.NewBudget(writeRPS, writeRPS), onAnswer: onAnswer}
+// this controller's share, writeBurst how many changes it may save up: more than
+// a second's worth, as long as the others hardly ever spend theirs in the same
+// second. onAnswer hears of each request whether the service served it.
+func New(h *transport.Client, addr string, deadline time.Duration, rps, writeRPS, writeBurst float64, onAnswer func(ok bool)) *Client {
+	return &Client{http: h, addr: addr, deadline: deadline, reqs: transport.NewBudget(rps, rps), writes: transport.NewBudget(writeRPS, writeBurst), onAnswer: onAnswer}
 }
 
 // Used tells how many requests and writes were sent in all.
@@ -158,6 +159,9 @@
 		return nil, ErrRefused
 	}
 	c.onAnswer(m.Status != 503)
+	if m.Status == 429 && writes > 0 {
+		c.writes.Drain() // several controllers spent what they had saved at once
+	}
 	if m.Status == 503 || m.Status == 429 {
 		return nil, ErrRefused
 	}
--- a/internal/transport/budget.go
+++ b/internal/transport/budget.go
@@ -51,6 +51,13 @@
 	return b.have - reserve*b.burst
 }
 
+// Drain empties the bucket: the other side says that it was too much.
+func (b *Budget) Drain() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.have = min(b.have, 0)
+}
+
 // Burst is how many tokens the bucket holds.
 func (b *Budget) Burst() float64 { return b.burst }
 
