Ends of a chunk are committed when all on an owner's machines have come

Cause: an owner waited for ends that only other owners see, so that jobs in several parts were told done up to two leases late.

--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -375,7 +375,16 @@
 	if ch == nil {
 		return false
 	}
-	if len(ends) == len(ch.Places) && (j.main.Gone || ch.DoneCount()+len(ends) >= j.main.ChunkLen(k.n)) {
+	// Owners see only the ends on their own machines: each commits those when all
+	// of its own have ended and no task waits for room any more. The last to do so
+	// completes the chunk.
+	own := 0
+	for _, p := range ch.Places {
+		if m := c.m.hosts[p.Host]; m != nil && c.owned(m.Part) != nil {
+			own++
+		}
+	}
+	if len(ends) == own && (j.main.Gone || ch.DoneCount()+len(ch.Places) >= j.main.ChunkLen(k.n)) {
 		return true
 	}
 	if j.main.Gone {
