--- a/internal/controller/headroom.go
+++ b/internal/controller/headroom.go
@@ -95,10 +95,11 @@
 		rank, _ := api.RankOf(last.Rank)
 		slack := c.slack(lane, last, c.pull(last))
 		w := config.Work{Lane: lane, Owner: last.Owner, Shape: last.Shape, Rank: rank, Slack: min(slack, never), Pieces: last.Pieces, GPUs: last.GPUs, CPUs: last.CPUs}
-		n := int(math.Ceil(c.policy.Headroom(w, math.Sqrt(squares/windows), startup, min(slack, never))))
-		if n == 0 {
+		keep := c.policy.Headroom(w, math.Sqrt(squares/windows), startup, min(slack, never))
+		if keep == 0 {
 			continue
 		}
+		n := int(math.Ceil(max(keep, c.growth(lane, l, boot, windows*boot, now))))
 		ask := askOf(last)
 		if !last.Scatter {
 			out = append(out, wanted{rank, sched.Unmet{Ask: ask, Count: n}})
@@ -116,6 +117,42 @@
 	return out
 }
 
+// growth is by how much a lane's arrays will outgrow the room that their running
+// tasks leave while a machine boots: at the start of a day, or when more come
+// than before, whoever waits for them to find no room rents a boot too late. The
+// rate is that of the newer half of what was seen, so that what came at once in
+// the beginning does not count. Call with the lock held.
+func (c *Controller) growth(lane string, l []arrival, boot, window time.Duration, now time.Time) float64 {
+	if len(l) == 0 || l[len(l)-1].run.Shape != api.Sweep {
+		return 0
+	}
+	half := min(now.Sub(l[0].at), window) / 2
+	jobs, tasks := 0, 0.0
+	for _, a := range l {
+		if now.Sub(a.at) < half {
+			jobs++
+			tasks += a.need
+		}
+	}
+	const few = 8 // jobs from which on a rate says something
+	if jobs < few || half < boot/8 {
+		return 0
+	}
+	grow := tasks / half.Seconds() * boot.Seconds()
+	for _, on := range c.m.onHost {
+		for _, pl := range on {
+			j := c.m.jobs[pl.uid]
+			if j == nil || j.main.Run.Lane != lane {
+				continue
+			}
+			if placed := time.UnixMilli(j.main.AtMS).Add(time.Duration(pl.p.AtS) * time.Second); now.Sub(placed).Seconds()+boot.Seconds() > c.runs(&j.main.Run) {
+				grow--
+			}
+		}
+	}
+	return max(grow, 0)
+}
+
 // slack is how long a job of the lane can wait before it misses its aim, when
 // fetching its image takes so many seconds.
 func (c *Controller) slack(lane string, r *api.Run, fetch float64) float64 {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -73,7 +73,7 @@
 )
 
 // reserve is the share of the budget that a rank leaves to those above it.
-var reserve = [...]float64{0, 0.1, 0.3}
+var reserve = [...]float64{0, 0.1, 0.15}
 
 // Client talks to the state service within the controller's share of its rates.
 type Client struct {
