--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -112,6 +112,7 @@
 	news     map[string]bool      // machines where tasks were placed, or are to leave, since their owner last looked
 	commits  map[string]commits   // by what they were for, since the last summary
 	planned  time.Duration        // processor time of plans since the last decision
+	began    time.Time            // when this life first looked at the parts
 	forgotAt time.Time            // when machines were last forgotten
 	movedAt  time.Time            // when replicas were last moved to save a machine
 	bias     map[string]float64   // by lane, run times against estimates
@@ -307,6 +308,7 @@
 	c.mu.Unlock()
 	c.log.Info("mirror loaded", "keys", len(items), "epoch", epoch)
 	c.poke()
+	c.lookForParts() // after a restart ours wait to be taken, and leases run
 	return nil
 }
 
@@ -340,14 +342,19 @@
 		c.poke()
 	}
 	if orphan {
-		select {
-		case c.orphans <- struct{}{}:
-		default:
-		}
+		c.lookForParts()
 	}
 	return nil
 }
 
+// lookForParts has the parts tended now, not with the next renewal of the hold.
+func (c *Controller) lookForParts() {
+	select {
+	case c.orphans <- struct{}{}:
+	default:
+	}
+}
+
 // newest brings the mirror up to now for a decision, which need not share its
 // read with users.
 func (c *Controller) newest(ctx context.Context) error {
--- a/internal/controller/found_test.go
+++ b/internal/controller/found_test.go
@@ -707,7 +707,9 @@
 	s := warmSim()
 	stay := s.job(func(r *api.Run, d *time.Duration) { r.Shape, r.Pieces, r.Scatter = api.Daemon, 2, true })
 	s.rounds(t, 60, "a machine in each zone", func() bool { return s.running(stay) == 2 })
-	id := s.job(func(r *api.Run, d *time.Duration) { r.Pieces, r.GPUs, r.CPUs, r.Scatter, *d = 4, 0, 0.1, true, 10*time.Second })
+	id := s.job(func(r *api.Run, d *time.Duration) {
+		r.Pieces, r.GPUs, r.CPUs, r.Scatter, *d = 4, 0, 0.1, true, 10*time.Second
+	})
 	s.w.Jobs[id].Step = time.Second
 	s.rounds(t, 120, "tasks done", func() bool { return len(s.w.Jobs[id].Done) == 4 })
 	s.rounds(t, 6, "known to be done", s.done(id))
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -217,6 +217,13 @@
 		m.jobs[uid] = j
 		m.onJob(v)
 	}
+	if v.Gone && j.main != nil && !j.main.Gone { // its tasks are useless from now on
+		for _, ch := range j.chunks {
+			for _, p := range ch.v.Places {
+				m.onTask(p.Host)
+			}
+		}
+	}
 	j.main, j.stamp = v, stamp
 	if v.Inner {
 		m.setChunk(uid, j.chunks, 0, v.Only, stamp)
