--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -511,19 +511,18 @@
 }
 
 // placeRound commits what one plan places: own placements, and claims on peers'
-// room by conditional write on their parts' free-room records. What comes
-// together goes into one transaction, so that a job whose tasks go to several
-// parts is written once. Then it marks what the plan stops.
+// room by conditional write on their parts' free-room records; and with them the
+// marks of the tasks that have to leave for some. What comes together goes into
+// one transaction, so that a job whose tasks go to several parts is written once.
 func (c *Controller) placeRound(ctx context.Context) bool {
 	c.mu.Lock()
-	pl := c.plan(c.now())
+	todo := c.plan(c.now()).places
 	c.mu.Unlock()
-	todo := pl.places
 	for tries := 0; len(todo) > 0 && tries < 3; {
 		// Every placement in a part changes its record. Looking at the newest
 		// one first costs a request, being overtaken costs all changes.
 		room := c.store.Ready(ctx, min(jobsOf(todo)+len(c.parts), c.cfg.Facts.State.TxnOps), store.Decision)
-		if room < 2 || !c.acting() || c.newest(ctx) != nil {
+		if room < 3 || !c.acting() || c.newest(ctx) != nil {
 			return false
 		}
 		c.mu.Lock()
@@ -545,33 +544,17 @@
 			return false
 		}
 	}
-	for todo := pl.swaps; len(todo) > 0; {
-		room := c.store.Ready(ctx, min(2*len(todo)+len(c.parts), c.cfg.Facts.State.TxnOps), store.Decision)
-		if room < 3 || !c.acting() || c.newest(ctx) != nil {
-			return false
-		}
-		c.mu.Lock()
-		t, rest, said := c.swapTxn(todo, room, c.now())
-		c.mu.Unlock()
-		if t == nil {
-			break
-		}
-		if done, _, _ := c.commit(ctx, "swaps", t, store.Decision); !done {
-			break // planned anew
-		}
-		for _, l := range said {
-			c.log.Info("task takes the room of others", l...)
-		}
-		todo = rest
-	}
 	return false
 }
 
-// jobsOf counts the jobs of placements.
+// jobsOf counts the jobs that placements change.
 func jobsOf(l []placement) int {
 	seen := map[string]bool{}
 	for _, x := range l {
 		seen[x.uid] = true
+		for _, v := range x.victims {
+			seen[v.uid] = true
+		}
 	}
 	return len(seen)
 }
@@ -612,9 +595,9 @@
 }
 
 // take checks one placement against what there is now and claims its room; cost
-// is how many changes it adds besides the job's own. Nothing is claimed before
+// is how many changes it adds besides the jobs' own. Nothing is claimed before
 // ok is called.
-func (x *claims) take(pl placement, fits bool, now time.Time) (j *liveJob, cost int, ok func()) {
+func (x *claims) take(pl placement, now time.Time) (j *liveJob, cost int, ok func()) {
 	c := x.c
 	j = c.m.jobs[pl.uid]
 	if j == nil || j.main.Gone || j.main.Finished(pl.chunk) || c.owned(j.main.Part) == nil {
@@ -635,6 +618,7 @@
 	r := &j.main.Run
 	n := need(r)
 	f, in := cl.free[pl.host.Name]
+	fits := len(pl.victims) == 0
 	if fits && (!in || !part.Unvec(f).Fits(n)) {
 		return nil, 0, nil // the record has moved on
 	}
@@ -701,15 +685,17 @@
 }
 
 // placeTxn commits as many placements as a transaction and the budget take. The
-// plan may be older than the mirror, so each is looked at again. Call with the
-// lock held.
+// plan may be older than the mirror, so each is looked at again. A placement that
+// takes the room of others goes together with their marks: the owner's next
+// answer stops the ones and starts the other, instead of a round of commits and
+// reports for each. Call with the lock held.
 func (c *Controller) placeTxn(todo []placement, room int, now time.Time) (t *txn, rest []placement, said [][]any) {
 	e := c.edit()
 	e.most = min(e.most, room)
 	cl := &claims{c: c, by: map[string]*claim{}}
 	zs := map[string]*zones{}
 	for i, x := range todo {
-		j, more, ok := cl.take(x, true, now)
+		j, more, ok := cl.take(x, now)
 		if j == nil || !c.zoneOK(zs, j, x) {
 			continue
 		}
@@ -717,65 +703,30 @@
 		if j.main.Run.Together && j.main.Zone == "" {
 			more++
 		}
-		if more > 0 && e.full(more, cl.more) {
-			rest = append(rest, todo[i:]...)
-			break
-		}
-		ok()
-		said = append(said, c.put(e, j, x, now))
-		zs[x.uid].add(x.chunk, x.host.Site)
-	}
-	if len(said) == 0 {
-		return nil, nil, nil
-	}
-	t = e.txn()
-	cl.write(t)
-	return t, rest, said
-}
-
-// swapTxn commits placements on machines together with the marks for those who
-// have to leave them: the owner's next answer stops the ones and starts the
-// other, instead of a round of commits and reports for each. Call with the lock
-// held.
-func (c *Controller) swapTxn(todo []swap, room int, now time.Time) (t *txn, rest []swap, said [][]any) {
-	e := c.edit()
-	e.most = min(e.most, room)
-	cl := &claims{c: c, by: map[string]*claim{}}
-	zs := map[string]*zones{}
-	for i, x := range todo {
-		j, more, ok := cl.take(x.placement, false, now)
-		if j == nil || !c.zoneOK(zs, j, x.placement) {
-			continue
-		}
-		more += e.cost(j, x.chunk)
-		if j.main.Run.Together && j.main.Zone == "" {
-			more++
-		}
-		gone := false
+		there := true
 		for _, v := range x.victims {
 			k := c.m.jobs[v.uid]
 			if k == nil {
-				gone = true
+				there = false
 				break
 			}
 			p := k.chunks[v.chunk].v.PlaceOf(v.index)
-			gone = gone || p == nil || p.Try != v.p.Try || p.Stop
+			there = there && p != nil && p.Try == v.p.Try && !p.Stop
 			more += e.cost(k, v.chunk)
 		}
-		if gone {
+		if !there {
 			continue // the room may be free by now: planned anew
 		}
-		if e.full(more, cl.more) {
+		if more > 0 && e.full(more, cl.more) {
 			rest = append(rest, todo[i:]...)
 			break
 		}
 		ok()
+		line := c.put(e, j, x, now)
 		for _, v := range x.victims {
-			e.chunk(c.m.jobs[v.uid], v.chunk).Places[v.index].Stop = true
-		}
-		line := c.put(e, j, x.placement, now)
-		for _, v := range x.victims {
-			line = append(line, "leaves", v.name(c.m.jobs[v.uid]))
+			k := c.m.jobs[v.uid]
+			e.chunk(k, v.chunk).Places[v.index].Stop = true
+			line = append(line, "leaves", v.name(k))
 		}
 		said = append(said, line)
 		zs[x.uid].add(x.chunk, x.host.Site)
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -22,18 +22,13 @@
 	chunk int
 	index int
 	host  *sched.Host
-}
 
-// swap is a task that takes the room of others that have to leave.
-type swap struct {
-	placement
-	victims []*placed
+	victims []*placed // tasks that have to leave the machine for it
 }
 
 // plan is what this node would do now, seen from one state of the mirror.
 type plan struct {
 	places []placement
-	swaps  []swap
 	unmet  []sched.Unmet
 	all    []sched.Unmet // what found no room at once, peers' jobs included
 	left   []*sched.Host // all machines with the room that is left after all that
@@ -436,7 +431,7 @@
 			}
 			l.z.add(t.chunk, h.Site)
 			if l.q.mine {
-				out.places = append(out.places, placement{l.q.uid, t.chunk, t.index, h})
+				out.places = append(out.places, placement{l.q.uid, t.chunk, t.index, h, nil})
 			}
 			if a.Daemon {
 				h.Daemons++
@@ -476,6 +471,7 @@
 	}
 	slices.SortFunc(open, func(a, b *sched.Host) int { return cmp.Compare(a.Name, b.Name) })
 	hunt := c.hunt(queue, coming, now)
+	var swaps []placement
 	for _, l := range lack {
 		u := sched.Unmet{Ask: l.ask}
 		if !l.q.mine {
@@ -499,7 +495,7 @@
 				prey = hunt.gather(l.q, &l.ask, 2*(len(l.tasks)-i)+16)
 			}
 			if v, h := hunt.victims(prey, &a); v != nil {
-				out.swaps = append(out.swaps, swap{placement{l.q.uid, t.chunk, t.index, h}, v})
+				swaps = append(swaps, placement{l.q.uid, t.chunk, t.index, h, v})
 				for _, x := range v {
 					h.Free = h.Free.Add(need(&c.m.jobs[x.uid].main.Run))
 				}
@@ -522,6 +518,7 @@
 		}
 		out.unmet = append(out.unmet, u)
 	}
+	out.places = append(out.places, swaps...)
 	return out
 }
 
