A start that would miss its aim takes room where its image is

Cause: two thirds of the receipt readers' and a third of the photo readers' starts were on machines without the image, for want of free room on one that has it, and a fetch misses the aim.

--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -232,6 +232,13 @@
 	ask   sched.Ask
 	tasks []task
 	z     *zones
+	prey  []*prey // machines where it could take others' room; nil: not looked for
+}
+
+// coldStart is a placement on a machine without the image that misses its aim.
+type coldStart struct {
+	l  *lacking
+	at int // in the plan's placements
 }
 
 // task is a task that is neither done nor placed.
@@ -375,6 +382,7 @@
 	})
 	var lack []*lacking
 	var jobs []*lacking
+	var cold []coldStart
 	for _, q := range queue {
 		r := &q.j.main.Run
 		if q.mine && c.backingOff(q, now) {
@@ -431,6 +439,9 @@
 			}
 			l.z.add(t.chunk, h.Site)
 			if l.q.mine {
+				if l.ask.Warm && !h.Warm[a.Bundle] {
+					cold = append(cold, coldStart{l, len(out.places)})
+				}
 				out.places = append(out.places, placement{l.q.uid, t.chunk, t.index, h, nil})
 			}
 			if a.Daemon {
@@ -462,7 +473,7 @@
 	}
 	coming := c.vacating(all)
 	out.left = coming
-	if len(lack) == 0 {
+	if len(lack) == 0 && len(cold) == 0 {
 		return out
 	}
 	var open []*sched.Host
@@ -472,6 +483,26 @@
 	slices.SortFunc(open, func(a, b *sched.Host) int { return cmp.Compare(a.Name, b.Name) })
 	hunt := c.hunt(queue, coming, now)
 	var swaps []placement
+	// A start that would miss its aim for want of its image rather takes the room
+	// of others where the image is, if that loses no more than two fetches; they
+	// can have the room that was free.
+	for _, x := range cold {
+		p := &out.places[x.at]
+		a := x.l.ask
+		a.Has = true
+		a.ZoneOK = func(site string) bool { return site == p.host.Site || x.l.z.ok(p.chunk, site) }
+		if x.l.prey == nil {
+			x.l.prey = hunt.gather(x.l.q, &x.l.ask, 2*x.l.q.j.main.Run.Pieces+16)
+		}
+		if v, h := hunt.victims(x.l.prey, &a, 2*a.PullS); v != nil {
+			for _, y := range v {
+				h.Free = h.Free.Add(need(&c.m.jobs[y.uid].main.Run))
+			}
+			h.Free = h.Free.Sub(a.Need)
+			x.l.z.add(p.chunk, h.Site)
+			p.host, p.victims = h, v
+		}
+	}
 	for _, l := range lack {
 		u := sched.Unmet{Ask: l.ask}
 		if !l.q.mine {
@@ -479,8 +510,7 @@
 			continue
 		}
 		var left []task
-		var prey []*prey
-		for i, t := range l.tasks {
+		for _, t := range l.tasks {
 			a := l.ask
 			a.ZoneOK = func(site string) bool { return l.z.ok(t.chunk, site) }
 			if h := sched.FullestFit(open, &a); h != nil {
@@ -491,10 +521,10 @@
 				l.z.add(t.chunk, h.Site)
 				continue
 			}
-			if prey == nil {
-				prey = hunt.gather(l.q, &l.ask, 2*(len(l.tasks)-i)+16)
+			if l.prey == nil {
+				l.prey = hunt.gather(l.q, &l.ask, 2*l.q.j.main.Run.Pieces+16)
 			}
-			if v, h := hunt.victims(prey, &a); v != nil {
+			if v, h := hunt.victims(l.prey, &a, math.Inf(1)); v != nil {
 				swaps = append(swaps, placement{l.q.uid, t.chunk, t.index, h, v})
 				for _, x := range v {
 					h.Free = h.Free.Add(need(&c.m.jobs[x.uid].main.Run))
@@ -664,13 +694,14 @@
 	return newest
 }
 
-// victims picks what to stop for a task: on one machine, losing least.
-func (x *hunt) victims(from []*prey, a *sched.Ask) ([]*placed, *sched.Host) {
+// victims picks what to stop for a task: on one machine, losing least and no more
+// than most.
+func (x *hunt) victims(from []*prey, a *sched.Ask, most float64) ([]*placed, *sched.Host) {
 	var best []*placed
 	var on *prey
 	bestCost := 0.0
 	for _, p := range from {
-		if !a.Allows(p.h.Build, p.h.Site, p.h.Loaners) {
+		if !a.Allows(p.h.Build, p.h.Site, p.h.Loaners) || a.Has && !p.h.Warm[a.Bundle] {
 			continue
 		}
 		take, cost := sched.Preempt(p.h.Free, a.Need, slices.Clone(p.cand))
@@ -680,7 +711,7 @@
 				cost += never // and misses its aim: any machine that has it is better
 			}
 		}
-		if take == nil || best != nil && cost >= bestCost {
+		if take == nil || cost > most || best != nil && cost >= bestCost {
 			continue
 		}
 		best, on, bestCost = nil, p, cost
