--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -112,7 +112,6 @@
 	news     map[string]bool      // machines where tasks were placed, or are to leave, since their owner last looked
 	commits  map[string]commits   // by what they were for, since the last summary
 	planned  time.Duration        // processor time of plans since the last decision
-	began    time.Time            // when this life first looked at the parts
 	forgotAt time.Time            // when machines were last forgotten
 	movedAt  time.Time            // when replicas were last moved to save a machine
 	bias     map[string]float64   // by lane, run times against estimates
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -80,9 +80,6 @@
 			}
 		}
 	}
-	if c.began.IsZero() {
-		c.began = now
-	}
 	n := c.m.nodes[me]
 	register := n.v == nil || n.v.Inc != c.inc
 	for _, x := range c.parts {
@@ -119,7 +116,7 @@
 		if _, ok := c.absent[p]; !ok {
 			c.absent[p] = now
 		}
-		if now.Sub(c.absent[p]) >= c.turn(p, now) {
+		if now.Sub(c.absent[p]) >= c.turn(p) {
 			take = append(take, p)
 		}
 	}
@@ -143,7 +140,7 @@
 // turn is how long this node waits before it takes a part without an owner: the
 // home controller goes first, then the others that live, in a ring order that
 // spreads several parts over several nodes. Call with the lock held.
-func (c *Controller) turn(p string, now time.Time) time.Duration {
+func (c *Controller) turn(p string) time.Duration {
 	if p == c.cfg.HostName {
 		return 0
 	}
@@ -152,11 +149,6 @@
 	if c.m.nodes[p].v != nil || c.m.parts[p].v == nil {
 		wait = 8 * step // it lives, or is only now being started, and should come for it
 	}
-	if now.Sub(c.began) < c.cfg.HoldTTL() {
-		// We have just started, and after the end of all so have the others: the
-		// first would take every part and have all workers on it at once.
-		wait = max(wait, 2*step)
-	}
 	start := 0
 	for i, x := range c.parts {
 		if x == p {
