--- /dev/null
+++ b/internal/controller/bench_test.go
@@ -0,0 +1,88 @@
+package controller
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"violetturn/internal/api"
+	"violetturn/internal/cloud"
+	"violetturn/internal/config"
+	"violetturn/internal/job"
+	"violetturn/internal/part"
+)
+
+// sized gives a controller that mirrors and owns a part of so many machines, all
+// but some full, and so many waiting arrays.
+func sized(machines, waiting int) *Controller {
+	zones := []string{"x", "y"}
+	cfg := settings(0, []string{"n0", "n1", "n2"}, zones, map[string]float64{"a": 5})
+	c := newController(cfg, config.DefaultPolicy(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	now := time.Unix(1_800_000_000, 0)
+	c.now = func() time.Time { return now }
+	c.loaded, c.permit, c.validTil = true, 1, now.Add(time.Hour)
+	c.flavors = []cloud.Flavor{{Label: "m", CPUs: 16, GPUs: 2, MemGB: 128, PullGBPerS: 1, Price: 3, MarketPrice: 1, StartupS: 60, Sites: zones}}
+	stamp := uint64(1)
+	apply := func(key string, v any) {
+		stamp++
+		c.m.apply(key, api.JSON(v), stamp)
+	}
+	apply(ownKey+"n0", part.Own{Node: "n0", Inc: c.inc, Term: 1})
+	c.mine["n0"] = &ownPart{term: 1, stamp: stamp}
+	apply(partKey+"n0", part.Record{Term: 1, By: "n0", Free: part.Free{}})
+	page := part.Page{}
+	for i := range machines {
+		page[fmt.Sprintf("i-%06d", i)] = &part.Machine{Part: "n0", Build: "m", Site: "x"}
+	}
+	apply(pageKey+"i-", page)
+	run := func(id int, rank string) *job.Main {
+		m := &job.Main{Run: api.Run{UID: fmt.Sprintf("run-%06d", id), Lane: "l", Owner: "b", Shape: api.Sweep, Rank: rank, Pieces: 16,
+			CPUs: 5 + float64(id%10)/10, GPUs: 1, MemGB: 40, Bundle: fmt.Sprintf("img-%d", id%18), SizeGB: 7, GuessS: 70}, Part: "n0", AtMS: now.UnixMilli()}
+		m.Fit(64, 500)
+		return m
+	}
+	for i := 0; i < machines; i += 8 { // sixteen tasks on eight machines
+		m := run(i, "standard")
+		m.Only = (*job.Chunk)(nil).Copy()
+		for k := range 16 {
+			if i/8%16 > 0 || k > 1 { // one machine in 128 is empty
+				m.Only.Put(k, fmt.Sprintf("i-%06d", i+k/2), 0)
+			}
+		}
+		apply(jobKey+m.Run.UID, m)
+	}
+	for i := range waiting {
+		m := run(500_000+i, []string{"production", "standard"}[i%2])
+		apply(jobKey+m.Run.UID, m)
+	}
+	for h := range c.m.hosts {
+		s := c.session(h, c.mine["n0"])
+		s.Fenced, s.Seen, s.Answered, s.Report = true, now, now, &api.Checkin{Host: h}
+	}
+	return c
+}
+
+// BenchmarkPlan is one decision's plan on a part as the grown deployments have
+// them; locks are held for as long.
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{50, 800} {
+		c := sized(n, n/10)
+		b.Run(fmt.Sprintf("machines=%d", n), func(b *testing.B) {
+			for range b.N {
+				c.plan(c.now())
+			}
+		})
+	}
+}
+
+// BenchmarkCheckin is the answer to one report in such a part.
+func BenchmarkCheckin(b *testing.B) {
+	c := sized(800, 80)
+	s := c.sessions["i-000009"]
+	for range b.N {
+		s.Report.Tick++
+		c.orders(s.Report, s, c.now())
+	}
+}
--- a/internal/controller/found_test.go
+++ b/internal/controller/found_test.go
@@ -700,6 +700,31 @@
 	}
 }
 
+// A take that was overtaken by another's, which raised the term, is tried again at
+// once, not with the next renewal of the hold: after the end of all controllers
+// they come together, and the workers' leases run.
+func TestOvertakenTakeIsTriedAgain(t *testing.T) {
+	s := warmSim()
+	s.start(1)
+	c := s.nodes[1].c
+	if err := c.load(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	var err error
+	if c.permit, err = c.store.Hold(context.Background(), c.cfg.HoldTTL()); err != nil {
+		t.Fatal(err)
+	}
+	for len(c.orphans) > 0 {
+		<-c.orphans
+	}
+	old := c.m.owns["n1"].stamp
+	s.nodes[0].c.acquire(context.Background(), "n0", s.nodes[0].c.m.owns["n0"].stamp) // raises the term
+	c.acquire(context.Background(), "n1", old)
+	if c.mine["n1"] != nil || len(c.orphans) != 1 {
+		t.Fatalf("taken %t, to be tried again %d", c.mine["n1"] != nil, len(c.orphans))
+	}
+}
+
 // A job whose tasks ran in several owners' parts is done when its last task is:
 // each owner once waited for ends that only the others could see, and committed
 // its own no sooner than what can wait.
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -198,6 +198,11 @@
 	done, _, err := c.commit(ctx, "part", t, store.Hold)
 	if !done {
 		c.log.Debug("part not taken", "part", p, "err", err)
+		if err == nil {
+			// Overtaken, by another's take that raised the term as a rule: after
+			// the end of all they come at once, and leases run meanwhile.
+			c.lookForParts()
+		}
 		return
 	}
 	now := c.now()
