--- a/internal/controller/found_test.go
+++ b/internal/controller/found_test.go
@@ -616,7 +616,8 @@
 		s.step(i)
 		s.w.Store.DeliverLate()
 	}
-	s.rounds(t, 60, "parts at home", func() bool {
+	// Sooner than the holds of the earlier lives end: those are over.
+	s.rounds(t, 5, "parts at home", func() bool {
 		return s.owner("n0") == "n0" && s.owner("n1") == "n1" && s.owner("n2") == "n2"
 	})
 	for range 40 {
