--- a/cmd/violetturn/main.go
+++ b/cmd/violetturn/main.go
@@ -65,6 +65,10 @@
 	// that works harder before the limit instead of being killed at it.
 	runtime.GOMAXPROCS(max(1, int(cfg.Facts.Limits.Cores+0.5)))
 	debug.SetMemoryLimit(int64(cfg.Facts.Limits.MemoryMB * 0.7 * (1 << 20)))
+	// What lives is small against the limit, and plans make much that is soon
+	// garbage: collecting a quarter as often saves processor time, of which there
+	// is less. The limit above still holds.
+	debug.SetGCPercent(400)
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	c, err := controller.New(cfg, policy, log)
 	if err != nil {
--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 	"os"
+	"strings"
+	"sync"
 
 	"github.com/expr-lang/expr"
 	"github.com/expr-lang/expr/vm"
@@ -15,6 +17,7 @@
 // narrows what is allowed, and the rest decides order and money.
 type Policy struct {
 	weight, preempt, headroom, idle *vm.Program
+	narrows                         bool // preempt is more than what is built in
 }
 
 // Work is what an expression knows of a job.
@@ -105,7 +108,7 @@
 }
 
 func compile(f policyFile) (*Policy, error) {
-	p := &Policy{}
+	p := &Policy{narrows: strings.TrimSpace(f.Preempt) != defaultPolicy.Preempt}
 	for _, x := range []struct {
 		name, src string
 		env, zero any
@@ -143,9 +146,14 @@
 	return err
 }
 
+// machines run expressions; a plan has hundreds to evaluate.
+var machines = sync.Pool{New: func() any { return &vm.VM{} }}
+
 // run evaluates an expression; one that fails or is not finite gives the fallback.
 func run[T any](p *vm.Program, env any, fallback T) T {
-	v, err := expr.Run(p, env)
+	m, _ := machines.Get().(*vm.VM)
+	v, err := m.Run(p, env)
+	machines.Put(m)
 	if err != nil {
 		return fallback
 	}
@@ -162,6 +170,10 @@
 // Weight orders jobs: the heaviest is served first.
 func (p *Policy) Weight(w Work) float64 { return run(p.weight, weightEnv{w}, 0.0) }
 
+// Narrows tells whether Preempt forbids anything at all. It is asked of every
+// task that could be stopped, so the built-in one is not evaluated.
+func (p *Policy) Narrows() bool { return p.narrows }
+
 // Preempt tells whether the job may stop the victim, where PROTOCOL allows it.
 func (p *Policy) Preempt(job, victim Work, lost float64) bool {
 	return run(p.preempt, preemptEnv{job, victim, lost}, false)
--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -67,7 +67,7 @@
 // BenchmarkPlan is one decision's plan on a part as the grown deployments have
 // them; locks are held for as long.
 func BenchmarkPlan(b *testing.B) {
-	for _, n := range []int{50, 800} {
+	for _, n := range []int{50, 900, 2700} {
 		c := sized(n, n/10)
 		b.Run(fmt.Sprintf("machines=%d", n), func(b *testing.B) {
 			for range b.N {
--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -305,15 +305,52 @@
 	return ok && r.Done && r.Try == pl.p.Try
 }
 
-// busy counts the tasks on a machine that are not over. Call with the lock held.
-func (c *Controller) busy(host string) int {
-	n := 0
+// loadOf gives what is placed on a machine. A plan asks for that of all machines,
+// so it is worked out only when something has changed there: whoever changes what
+// it rests on (places, the jobs' records, Releases) drops it. Call with the lock
+// held.
+func (c *Controller) loadOf(host string) *load {
+	l := c.m.loads[host]
+	if l != nil {
+		return l
+	}
+	l = &load{}
 	for id, pl := range c.m.onHost[host] {
-		if !c.over(host, id, pl) {
-			n++
+		if c.over(host, id, pl) {
+			continue
+		}
+		j := c.m.jobs[pl.uid]
+		if j == nil {
+			l.sweeps++
+			continue
+		}
+		n := need(&j.main.Run)
+		l.used = l.used.Add(n)
+		if j.main.Run.Shape == api.Daemon {
+			l.daemons++
+		} else {
+			l.sweeps++
+		}
+		if j.main.Gone || pl.p.Stop {
+			l.leaving = l.leaving.Add(n)
+		} else if rank, _ := api.RankOf(j.main.Run.Rank); rank < len(l.staying) {
+			l.staying[rank] = l.staying[rank].Add(n)
 		}
 	}
-	return n
+	c.m.loads[host] = l
+	return l
+}
+
+// release notes that an attempt is over. Call with the lock held.
+func (c *Controller) release(host string, s *part.Session, id string, r part.Release) {
+	s.Releases[id] = r
+	delete(c.m.loads, host)
+}
+
+// busy counts the tasks on a machine that are not over. Call with the lock held.
+func (c *Controller) busy(host string) int {
+	l := c.loadOf(host)
+	return l.daemons + l.sweeps
 }
 
 // endings looks over the machines of own parts and collects the attempts that
@@ -328,15 +365,13 @@
 		}
 		s := c.session(host, o)
 		on := c.m.onHost[host]
-		for id := range s.Started {
-			if on[id] == nil {
-				delete(s.Started, id)
-			}
+		// Entries of tasks that are no longer there do no harm, for a later
+		// attempt has another number: they go when there are too many.
+		if len(s.Started) > len(on) {
+			maps.DeleteFunc(s.Started, func(id string, _ part.Start) bool { return on[id] == nil })
 		}
-		for id := range s.Sent {
-			if on[id] == nil {
-				delete(s.Sent, id)
-			}
+		if len(s.Sent) > len(on) {
+			maps.DeleteFunc(s.Sent, func(id string, _ part.Sent) bool { return on[id] == nil })
 		}
 		for id, r := range s.Releases {
 			if pl := on[id]; pl == nil || pl.p.Try != r.Try {
@@ -352,9 +387,12 @@
 		} else if !dead {
 			s.Dark = false
 		}
+		if len(s.Releases) == 0 && !dead {
+			continue
+		}
 		for id, pl := range on {
 			if _, ok := s.Releases[id]; !ok && dead {
-				s.Releases[id] = part.Release{Try: pl.p.Try, At: now}
+				c.release(host, s, id, part.Release{Try: pl.p.Try, At: now})
 			}
 			if r, ok := s.Releases[id]; ok && c.m.jobs[pl.uid] != nil {
 				k := chunkID{pl.uid, pl.chunk}
@@ -516,7 +554,10 @@
 // one transaction, so that a job whose tasks go to several parts is written once.
 func (c *Controller) placeRound(ctx context.Context) bool {
 	c.mu.Lock()
-	todo := c.plan(c.now()).places
+	var todo []placement
+	if c.waiting() {
+		todo = c.plan(c.now()).places
+	}
 	c.mu.Unlock()
 	for tries := 0; len(todo) > 0 && tries < 3; {
 		// Every placement in a part changes its record. Looking at the newest
@@ -547,6 +588,17 @@
 	return false
 }
 
+// waiting tells whether a job of an own part has tasks to place. Call with the
+// lock held.
+func (c *Controller) waiting() bool {
+	for _, j := range c.m.jobs {
+		if !j.main.Gone && len(j.pending()) > 0 && c.owned(j.main.Part) != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // jobsOf counts the jobs that placements change.
 func jobsOf(l []placement) int {
 	seen := map[string]bool{}
@@ -949,7 +1001,7 @@
 		c.mu.Lock()
 		c.forgotAt = now
 		for _, h := range names {
-			delete(c.sessions, h)
+			c.forget(h)
 		}
 		c.mu.Unlock()
 		c.log.Info("machines forgotten", "hosts", names)
--- a/internal/controller/headroom.go
+++ b/internal/controller/headroom.go
@@ -46,19 +46,15 @@
 // added to what is free: that need not be kept, it can be taken when needed.
 // Call with the lock held.
 func (c *Controller) yielding(hosts []*sched.Host, rank int) []*sched.Host {
+	room := make([]sched.Host, len(hosts))
 	out := make([]*sched.Host, len(hosts))
 	for i, h := range hosts {
-		x := *h
-		for id, pl := range c.m.onHost[h.Name] {
-			j := c.m.jobs[pl.uid]
-			if j == nil || j.main.Gone || pl.p.Stop || c.over(h.Name, id, pl) {
-				continue
-			}
-			if r, _ := api.RankOf(j.main.Run.Rank); r > rank {
-				x.Free = x.Free.Add(need(&j.main.Run))
-			}
+		room[i] = *h
+		l := c.loadOf(h.Name)
+		for r := rank + 1; r < len(l.staying); r++ {
+			room[i].Free = room[i].Free.Add(l.staying[r])
 		}
-		out[i] = &x
+		out[i] = &room[i]
 	}
 	return out
 }
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -47,6 +47,7 @@
 		c.permit, c.validTil = 0, time.Time{}
 		clear(c.mine)
 		clear(c.sessions)
+		clear(c.m.loads)
 		c.mu.Unlock()
 		return 0
 	}
@@ -233,17 +234,24 @@
 	delete(c.mine, p)
 	for host := range c.sessions {
 		if m := c.m.hosts[host]; m == nil || m.Part == p {
-			delete(c.sessions, host)
+			c.forget(host)
 		}
 	}
 }
 
+// forget drops a machine's session. Call with the lock held.
+func (c *Controller) forget(host string) {
+	delete(c.sessions, host)
+	delete(c.m.loads, host)
+}
+
 // session gives the session of a machine of an own part. Call with the lock held.
 func (c *Controller) session(host string, o *ownPart) *part.Session {
 	s := c.sessions[host]
 	if s == nil || s.Term != o.term {
 		s = part.NewSession(o.term, c.now(), o.answered)
 		c.sessions[host] = s
+		delete(c.m.loads, host)
 	}
 	return s
 }
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math"
 	"net/url"
 	"slices"
@@ -70,65 +69,75 @@
 // out. Call with the lock held.
 func (c *Controller) freeOf(p string, now time.Time) map[string]sched.Room {
 	free := map[string]sched.Room{}
-	for host, m := range c.m.hosts {
-		if m.Part != p || !c.usable(host, now) {
+	for _, host := range c.m.hostNames() {
+		if c.m.hosts[host].Part != p {
 			continue
 		}
-		r, f := c.capOf(m.Build)
-		if f == nil {
-			continue
-		}
-		for id, pl := range c.m.onHost[host] {
-			if j := c.m.jobs[pl.uid]; j != nil && !c.over(host, id, pl) {
-				r = r.Sub(need(&j.main.Run))
-			}
-		}
-		if r.CPUs > 1e-6 && r.MemGB > 1e-6 {
+		if r, ok := c.freeOn(host, now); ok {
 			free[host] = r
 		}
 	}
 	return free
 }
 
+// freeOn gives the free room of a machine of an own part, false if it has none or
+// can't take tasks. Call with the lock held.
+func (c *Controller) freeOn(host string, now time.Time) (sched.Room, bool) {
+	if !c.usable(host, now) {
+		return sched.Room{}, false
+	}
+	r, f := c.capOf(c.m.hosts[host].Build)
+	if f == nil {
+		return r, false
+	}
+	r = r.Sub(c.loadOf(host).used)
+	return r, r.CPUs > 1e-6 && r.MemGB > 1e-6
+}
+
 // hosts lists the machines with their free room: of own parts as computed, of
 // peers' as their records say. Call with the lock held.
 func (c *Controller) hosts(now time.Time) []*sched.Host {
-	var out []*sched.Host
+	type view struct {
+		own  bool
+		free part.Free // of a peer's part
+	}
+	parts := map[string]view{}
 	for _, p := range c.parts {
-		own := c.m.owns[p]
-		if own.v == nil || c.m.parts[p].v == nil {
+		own, rec := c.m.owns[p].v, c.m.parts[p].v
+		if own == nil || rec == nil {
 			continue
 		}
-		var free map[string]sched.Room
 		if c.owned(p) != nil {
-			free = c.freeOf(p, now)
-		} else if own.v.Node != c.cfg.HostName {
-			free = make(map[string]sched.Room, len(c.m.parts[p].v.Free))
-			for h, v := range c.m.parts[p].v.Free {
-				free[h] = part.Unvec(v)
-			}
+			parts[p] = view{own: true}
+		} else if own.Node != c.cfg.HostName {
+			parts[p] = view{free: rec.Free}
+		}
+	}
+	names := c.m.hostNames()
+	room := make([]sched.Host, 0, len(names))
+	out := make([]*sched.Host, 0, len(names))
+	for _, h := range names {
+		m := c.m.hosts[h]
+		v, ok := parts[m.Part]
+		if !ok {
+			continue
 		}
-		for h, r := range free {
-			m := c.m.hosts[h]
-			if m == nil {
-				continue
-			}
-			cp, _ := c.capOf(m.Build)
-			x := &sched.Host{Name: h, Part: p, Build: m.Build, Site: m.Site, Loaners: m.Loaners, Cap: cp, Free: r, Warm: c.m.images[h]}
-			for id, pl := range c.m.onHost[h] {
-				if c.over(h, id, pl) {
-					continue
-				}
-				if j := c.m.jobs[pl.uid]; j != nil && j.main.Run.Shape == api.Daemon {
-					x.Daemons++
-				} else {
-					x.Sweeps++
-				}
-			}
-			out = append(out, x)
+		var r sched.Room
+		if v.own {
+			r, ok = c.freeOn(h, now)
+		} else {
+			var vec [3]float64
+			vec, ok = v.free[h]
+			r = part.Unvec(vec)
+		}
+		if !ok {
+			continue
 		}
+		cp, _ := c.capOf(m.Build)
+		l := c.loadOf(h)
+		room = append(room, sched.Host{Name: h, Part: m.Part, Build: m.Build, Site: m.Site, Loaners: m.Loaners, Cap: cp, Free: r, Warm: c.m.images[h], Daemons: l.daemons, Sweeps: l.sweeps})
+		out = append(out, &room[len(room)-1])
 	}
-	slices.SortFunc(out, func(a, b *sched.Host) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
@@ -232,7 +241,7 @@
 	ask   sched.Ask
 	tasks []task
 	z     *zones
-	prey  []*prey // machines where it could take others' room; nil: not looked for
+	prey  []*option // machines where it could take others' room; nil: not looked for
 }
 
 // coldStart is a placement on a machine without the image that misses its aim.
@@ -244,24 +253,31 @@
 // task is a task that is neither done nor placed.
 type task struct{ chunk, index int }
 
-// pending calls f for the job's tasks that are neither done nor placed, until
-// it returns false.
-func (j *liveJob) pending(f func(t task) bool) {
+// pending gives the job's tasks that are neither done nor placed, at most so many.
+// Plans ask for those of all jobs, so they are kept until the job changes. Who
+// changes the list copies it. Call with the lock held.
+func (j *liveJob) pending() []task {
+	const most = 1024
+	if j.open != nil {
+		return j.open
+	}
+	j.open = []task{}
 	m := j.main
 	for n := range m.Chunks() {
 		if m.Finished(n) {
 			continue
 		}
 		ch := j.chunks[n].v
-		for i := range m.ChunkLen(n) {
-			if ch != nil && (ch.Places[i] != nil || ch.Done(i)) {
+		for i, done := range ch.DoneFlags(m.ChunkLen(n)) {
+			if done || ch.PlaceOf(i) != nil {
 				continue
 			}
-			if !f(task{n, i}) {
-				return
+			if j.open = append(j.open, task{n, i}); len(j.open) == most {
+				return j.open
 			}
 		}
 	}
+	return j.open
 }
 
 // teamUse is what a team's tasks hold in all, by the parts' records.
@@ -322,12 +338,7 @@
 	inf := math.Inf(1)
 	m := sched.Room{CPUs: inf, GPUs: inf, MemGB: inf}
 	for _, q := range queue {
-		some := false
-		q.j.pending(func(task) bool {
-			some = true
-			return false
-		})
-		if some {
+		if len(q.j.pending()) > 0 {
 			n := need(&q.j.main.Run)
 			m = sched.Room{CPUs: min(m.CPUs, n.CPUs), GPUs: min(m.GPUs, n.GPUs), MemGB: min(m.MemGB, n.MemGB)}
 		}
@@ -388,18 +399,14 @@
 		if q.mine && c.backingOff(q, now) {
 			continue
 		}
+		if len(q.j.pending()) == 0 {
+			continue
+		}
 		ask := askOf(r)
 		ask.PullS = c.pull(r)
 		// Fetches may be a third slower than told.
 		ask.Warm = c.slack(r.Lane, r, 1.5*ask.PullS) < c.cfg.Report().Seconds()
-		l := &lacking{q: q, ask: ask, z: c.zonesOf(q.j)}
-		q.j.pending(func(t task) bool {
-			l.tasks = append(l.tasks, t)
-			return len(l.tasks) < 1024
-		})
-		if len(l.tasks) > 0 {
-			jobs = append(jobs, l)
-		}
+		jobs = append(jobs, &lacking{q: q, ask: ask, z: c.zonesOf(q.j), tasks: slices.Clone(q.j.pending())})
 	}
 	// place puts what it can of a job's tasks on machines, with its image only or
 	// any, and leaves the rest.
@@ -471,8 +478,9 @@
 		}
 		i = n
 	}
-	coming := c.vacating(all)
-	out.left = coming
+	c.vacate(all)
+	coming := all
+	out.left = all
 	if len(lack) == 0 && len(cold) == 0 {
 		return out
 	}
@@ -571,20 +579,14 @@
 	return now.Before(c.retryAt[q.uid])
 }
 
-// vacating gives the machines with the room that tasks on their way out will
-// leave added to what is free. Call with the lock held.
-func (c *Controller) vacating(hosts []*sched.Host) []*sched.Host {
-	out := make([]*sched.Host, len(hosts))
-	for i, h := range hosts {
-		x := *h
-		for id, pl := range c.m.onHost[h.Name] {
-			if j := c.m.jobs[pl.uid]; j != nil && (pl.p.Stop || j.main.Gone) && !c.over(h.Name, id, pl) {
-				x.Free = x.Free.Add(need(&j.main.Run))
-			}
+// vacate adds to what is free on machines the room that tasks on their way out
+// will leave. Call with the lock held.
+func (c *Controller) vacate(hosts []*sched.Host) {
+	for _, h := range hosts {
+		if l := c.loadOf(h.Name).leaving; l != (sched.Room{}) {
+			h.Free = h.Free.Add(l)
 		}
-		out[i] = &x
 	}
-	return out
 }
 
 // mayStop tells whether PROTOCOL lets the job take room from the other one.
@@ -596,77 +598,166 @@
 	return q.guarantee && over && v.Owner != q.j.main.Run.Owner
 }
 
-// hunt finds tasks to stop for others. It looks over the machines once for a
-// job, not for each of its tasks, and not at all for a kind of job that found
-// nothing before.
+// hunt finds tasks to stop for others. It looks over the machines once for a kind
+// of job, not for each job and each of its tasks.
 type hunt struct {
-	c      *Controller
-	now    time.Time
-	hosts  []*sched.Host
-	over   map[string]bool // jobs beyond their teams' guarantees
-	taken  map[*placed]bool
-	barren map[string]bool // kinds of jobs that may stop nothing
+	c     *Controller
+	now   time.Time
+	hosts []*sched.Host
+	over  map[string]bool // jobs beyond their teams' guarantees
+	taken map[*placed]bool
+	kinds map[huntKind]*game
+	on    map[*sched.Host][]*prey // of all kinds
+}
+
+// huntKind is what decides which tasks a job may stop.
+type huntKind struct {
+	rank      int
+	guarantee bool
+	owner     string
+}
+
+// game is what a kind of job may stop.
+type game struct {
+	all  []*prey
+	warm map[string][]*prey // by image that the machine has, worked out when asked for
 }
 
 // prey is a machine where stopping tasks would make room.
 type prey struct {
 	h    *sched.Host
 	cand []sched.Victim
-	by   map[string]*placed
+	on   []*placed // by the candidates' Ref
+}
+
+// option is prey as one job sees it: what it would take, which is worked out anew
+// only when something has changed on the machine.
+type option struct {
+	*prey
+	warm bool // it has the image
+	take []sched.Victim
+	cost float64
+	free sched.Room // when take was worked out, of
+	n    int        // so many candidates
+}
+
+// best gives what a task would take there.
+func (o *option) best(n sched.Room) ([]sched.Victim, float64) {
+	if o.n != len(o.cand) || o.free != o.h.Free {
+		o.n, o.free = len(o.cand), o.h.Free
+		o.take, o.cost = sched.Preempt(o.free, n, o.cand)
+	}
+	return o.take, o.cost
 }
 
 func (c *Controller) hunt(queue []queued, hosts []*sched.Host, now time.Time) *hunt {
-	x := &hunt{c: c, now: now, hosts: hosts, over: map[string]bool{}, taken: map[*placed]bool{}, barren: map[string]bool{}}
+	x := &hunt{c: c, now: now, hosts: hosts, over: map[string]bool{}, taken: map[*placed]bool{}, kinds: map[huntKind]*game{}, on: map[*sched.Host][]*prey{}}
 	for _, q := range queue {
 		x.over[q.uid] = !q.guarantee
 	}
 	return x
 }
 
-// gather gives machines where stopping tasks would make room for one of the
-// job's, a bounded number of them.
-func (x *hunt) gather(q queued, a *sched.Ask, most int) []*prey {
+// look finds the machines where a kind of job may stop tasks.
+func (x *hunt) look(q queued) *game {
 	c := x.c
-	kind := fmt.Sprint(q.rank, q.guarantee, q.j.main.Run.Owner)
-	found, any := []*prey{}, false
-	if x.barren[kind] || len(x.hosts) == 0 {
-		return found
-	}
-	// Machines that have its image come first, then any, from a random one on.
-	from := c.rnd.IntN(len(x.hosts))
-	for i := 0; i < 2*len(x.hosts) && len(found) < most; i++ {
-		h := x.hosts[(from+i)%len(x.hosts)]
-		if warm := i < len(x.hosts); warm != h.Warm[a.Bundle] {
+	g := &game{warm: map[string][]*prey{}}
+	for _, h := range x.hosts {
+		l := c.loadOf(h.Name)
+		some := q.guarantee // it may stop work of any rank, others' beyond a guarantee
+		for rank := q.rank + 1; rank < len(l.staying) && !some; rank++ {
+			some = l.staying[rank] != sched.Room{}
+		}
+		if !some {
 			continue
 		}
-		p := &prey{h: h, by: map[string]*placed{}}
+		var p *prey
 		only := c.newestOn(h)
 		for id, pl := range c.m.onHost[h.Name] {
 			j := c.m.jobs[pl.uid]
 			if j == nil || only != nil && only != pl || j.main.Gone || pl.p.Stop || x.taken[pl] || !c.mayStop(q, &j.main.Run, x.over[pl.uid]) || c.over(h.Name, id, pl) {
 				continue
 			}
-			any = true
-			cost := lost(j, pl.p, x.now)
-			rank, _ := api.RankOf(j.main.Run.Rank)
-			if !c.policy.Preempt(q.work, c.describe(j, rank, !x.over[pl.uid], x.now), cost) {
-				continue
+			if p == nil {
+				p = &prey{h: h}
 			}
-			p.by[id] = pl
-			p.cand = append(p.cand, sched.Victim{Piece: id, Room: need(&j.main.Run), Cost: cost})
+			p.cand = append(p.cand, sched.Victim{Piece: id, Room: need(&j.main.Run), Cost: lost(j, pl.p, x.now), Ref: len(p.on)})
+			p.on = append(p.on, pl)
 		}
-		if len(p.cand) > 0 && a.Allows(h.Build, h.Site, h.Loaners) {
-			if take, _ := sched.Preempt(h.Free, a.Need, slices.Clone(p.cand)); take != nil {
-				found = append(found, p)
+		if p != nil {
+			g.all = append(g.all, p)
+			x.on[h] = append(x.on[h], p)
+		}
+	}
+	return g
+}
+
+// having gives the prey on machines that have an image.
+func (g *game) having(image string) []*prey {
+	l, ok := g.warm[image]
+	if !ok {
+		for _, p := range g.all {
+			if p.h.Warm[image] {
+				l = append(l, p)
 			}
 		}
+		g.warm[image] = l
 	}
-	if !any {
-		x.barren[kind] = true
+	return l
+}
+
+// gather gives machines where stopping tasks would make room for one of the
+// job's, a bounded number of them.
+func (x *hunt) gather(q queued, a *sched.Ask, most int) []*option {
+	kind := huntKind{q.rank, q.guarantee, q.j.main.Run.Owner}
+	g := x.kinds[kind]
+	if g == nil {
+		g = x.look(q)
+		x.kinds[kind] = g
+	}
+	found := []*option{}
+	// Machines that have its image come first, then any, from a random one on.
+	for _, from := range [][]*prey{g.having(a.Bundle), g.all} {
+		if len(from) == 0 {
+			continue
+		}
+		at := x.c.rnd.IntN(len(from))
+		warm := len(found) // of the first list, those are not to come twice
+		for i := 0; i < len(from) && len(found) < most; i++ {
+			p := from[(at+i)%len(from)]
+			if !a.Allows(p.h.Build, p.h.Site, p.h.Loaners) || warm > 0 && p.h.Warm[a.Bundle] {
+				continue
+			}
+			if p = x.allowed(q, p); p == nil {
+				continue
+			}
+			o := &option{prey: p, warm: p.h.Warm[a.Bundle]}
+			if take, _ := o.best(a.Need); take != nil {
+				found = append(found, o)
+			}
+		}
 	}
 	return found
 }
 
+// allowed narrows prey to what the operators' policy lets the job stop; nil if
+// nothing is left.
+func (x *hunt) allowed(q queued, p *prey) *prey {
+	c := x.c
+	if c.policy.Narrows() {
+		p = &prey{h: p.h, on: p.on, cand: slices.DeleteFunc(slices.Clone(p.cand), func(v sched.Victim) bool {
+			j := c.m.jobs[p.on[v.Ref].uid]
+			rank, _ := api.RankOf(j.main.Run.Rank)
+			return !c.policy.Preempt(q.work, c.describe(j, rank, !x.over[j.main.Run.UID], x.now), v.Cost)
+		})}
+		x.on[p.h] = append(x.on[p.h], p)
+	}
+	if len(p.cand) == 0 {
+		return nil
+	}
+	return p
+}
+
 // newestOn gives the task that was last placed on a peer's machine where more is
 // placed than there is room for: some have completed and others have taken their
 // room, but the ends are not committed yet and only the owner knows which. The
@@ -696,36 +787,36 @@
 
 // victims picks what to stop for a task: on one machine, losing least and no more
 // than most.
-func (x *hunt) victims(from []*prey, a *sched.Ask, most float64) ([]*placed, *sched.Host) {
-	var best []*placed
-	var on *prey
+func (x *hunt) victims(from []*option, a *sched.Ask, most float64) ([]*placed, *sched.Host) {
+	var on *option
 	bestCost := 0.0
 	for _, p := range from {
-		if !a.Allows(p.h.Build, p.h.Site, p.h.Loaners) || a.Has && !p.h.Warm[a.Bundle] {
+		if !a.Allows(p.h.Build, p.h.Site, p.h.Loaners) || a.Has && !p.warm {
 			continue
 		}
-		take, cost := sched.Preempt(p.h.Free, a.Need, slices.Clone(p.cand))
-		if !p.h.Warm[a.Bundle] {
+		take, cost := p.best(a.Need)
+		if !p.warm {
 			cost += a.PullS // the task waits for its image there
 			if a.Warm {
 				cost += never // and misses its aim: any machine that has it is better
 			}
 		}
-		if take == nil || cost > most || best != nil && cost >= bestCost {
+		if take == nil || cost > most || on != nil && cost >= bestCost {
 			continue
 		}
-		best, on, bestCost = nil, p, cost
-		for _, v := range take {
-			best = append(best, p.by[v.Piece])
-		}
+		on, bestCost = p, cost
 	}
-	if best == nil {
+	if on == nil {
 		return nil, nil
 	}
-	for _, pl := range best {
-		x.taken[pl] = true
+	var best []*placed
+	for _, v := range on.take {
+		best = append(best, on.on[v.Ref])
+		x.taken[on.on[v.Ref]] = true
+	}
+	for _, p := range x.on[on.h] {
+		p.cand = slices.DeleteFunc(p.cand, func(v sched.Victim) bool { return x.taken[p.on[v.Ref]] })
 	}
-	on.cand = slices.DeleteFunc(on.cand, func(v sched.Victim) bool { return x.taken[on.by[v.Piece]] })
 	return best, on.h
 }
 
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -132,7 +132,7 @@
 	left, flavor := c.capOf(r.Build)
 	release := func(id string, x part.Release) {
 		x.At = now
-		s.Releases[id] = x
+		c.release(host, s, id, x)
 		c.poke()
 	}
 	for id, pl := range c.m.onHost[host] {
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -40,6 +42,7 @@
 	main   *job.Main
 	stamp  uint64
 	chunks map[int]value[job.Chunk]
+	open   []task // what is neither done nor placed; nil: to be worked out
 }
 
 // mirror is this controller's copy of what lives in the state service. It is a
@@ -61,6 +64,8 @@
 	teams   map[string]value[part.Usage]
 	term    uint64
 	onHost  map[string]map[string]*placed // host -> task -> place
+	names   []string                      // of hosts, sorted; nil: to be sorted anew
+	loads   map[string]*load              // host -> what is placed there, while nothing changes there
 	images  map[string]map[string]bool    // host -> images that tasks were put there with
 	gone    map[string]bool               // machines that were forgotten: they are gone for good
 	onJob   func(*job.Main)               // hears of each job that appears
@@ -80,7 +85,7 @@
 	return &mirror{log: log, onJob: onJob, onTask: onTask, stamps: map[string]uint64{}, tombs: map[string]uint64{}, jobs: map[string]*liveJob{},
 		orphan: map[string]map[int]value[job.Chunk]{}, parts: map[string]value[part.Record]{}, owns: map[string]value[part.Own]{},
 		nodes: map[string]value[part.Own]{}, pages: map[string]value[part.Page]{}, hosts: map[string]*part.Machine{}, teams: map[string]value[part.Usage]{},
-		onHost: map[string]map[string]*placed{}, images: map[string]map[string]bool{}, gone: map[string]bool{}}
+		onHost: map[string]map[string]*placed{}, loads: map[string]*load{}, images: map[string]map[string]bool{}, gone: map[string]bool{}}
 }
 
 // apply takes in one change; raw is nil for a drop. Changes reach the mirror
@@ -149,6 +154,7 @@
 	if err := set(m.pages, id, raw, stamp); err != nil {
 		return err
 	}
+	m.names = nil
 	page := m.pages[id].v
 	if old.v != nil {
 		for host := range *old.v {
@@ -199,6 +205,7 @@
 			if len(j.chunks) > 0 {
 				m.orphan[uid] = j.chunks // their drops follow
 			}
+			m.unload(j.chunks)
 			delete(m.jobs, uid)
 		}
 		return nil
@@ -212,19 +219,21 @@
 		j = &liveJob{chunks: map[int]value[job.Chunk]{}}
 		if o := m.orphan[uid]; o != nil {
 			j.chunks = o
+			m.unload(o)
 			delete(m.orphan, uid)
 		}
 		m.jobs[uid] = j
 		m.onJob(v)
 	}
 	if v.Gone && j.main != nil && !j.main.Gone { // its tasks are useless from now on
+		m.unload(j.chunks)
 		for _, ch := range j.chunks {
 			for _, p := range ch.v.Places {
 				m.onTask(p.Host)
 			}
 		}
 	}
-	j.main, j.stamp = v, stamp
+	j.main, j.stamp, j.open = v, stamp, nil
 	if v.Inner {
 		m.setChunk(uid, j.chunks, 0, v.Only, stamp)
 	}
@@ -259,6 +268,9 @@
 
 // setChunk replaces a chunk and with it what is placed on machines.
 func (m *mirror) setChunk(uid string, chunks map[int]value[job.Chunk], n int, c *job.Chunk, stamp uint64) {
+	if j := m.jobs[uid]; j != nil {
+		j.open = nil
+	}
 	old := chunks[n].v
 	if old != nil {
 		for i, p := range old.Places {
@@ -276,6 +288,7 @@
 			on = map[string]*placed{}
 			m.onHost[p.Host] = on
 		}
+		delete(m.loads, p.Host)
 		on[taskID(uid, n, i)] = &placed{uid, n, i, p}
 		if j := m.jobs[uid]; j != nil {
 			if m.images[p.Host] == nil {
@@ -296,6 +309,7 @@
 }
 
 func (m *mirror) unplace(uid string, n, i int, p *job.Place) {
+	delete(m.loads, p.Host)
 	on := m.onHost[p.Host]
 	delete(on, taskID(uid, n, i))
 	if len(on) == 0 {
@@ -303,6 +317,31 @@
 	}
 }
 
+// load is what is placed on a machine.
+type load struct {
+	used            sched.Room    // of the tasks that are not over
+	leaving         sched.Room    // of those of them that are on their way out
+	staying         [4]sched.Room // of the others, by rank
+	daemons, sweeps int           // tasks that are not over, by their jobs' shape
+}
+
+// unload has the loads of machines with tasks of a job worked out anew.
+func (m *mirror) unload(chunks map[int]value[job.Chunk]) {
+	for _, ch := range chunks {
+		for _, p := range ch.v.Places {
+			delete(m.loads, p.Host)
+		}
+	}
+}
+
+// hostNames gives the names of all machines in order.
+func (m *mirror) hostNames() []string {
+	if m.names == nil {
+		m.names = slices.Sorted(maps.Keys(m.hosts))
+	}
+	return m.names
+}
+
 // advance notes that all changes up to epoch have been applied.
 func (m *mirror) advance(epoch uint64) {
 	if epoch <= m.epoch {
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -17,6 +17,7 @@
 	"violetturn/internal/api"
 	"violetturn/internal/config"
 	"violetturn/internal/httpwire"
+	"violetturn/internal/sched"
 	"violetturn/internal/standin"
 )
 
@@ -368,6 +369,7 @@
 			if len(s.w.Broken) > 0 {
 				t.Fatalf("%v", s.w.Broken)
 			}
+			s.checkKept(t)
 		},
 		"submit":  submitNew,
 		"submit2": submitNew,
@@ -453,6 +455,33 @@
 	}
 }
 
+// checkKept compares what plans keep of machines and jobs with what it would be
+// if worked out anew: one change that forgot to drop it, and every later plan of
+// that machine is wrong.
+func (s *sim) checkKept(t *rapid.T) {
+	for _, n := range s.nodes {
+		c := n.c
+		for h, kept := range c.m.loads {
+			delete(c.m.loads, h)
+			if now := c.loadOf(h); !now.used.Near(kept.used) || !now.leaving.Near(kept.leaving) || now.daemons != kept.daemons || now.sweeps != kept.sweeps ||
+				!slices.EqualFunc(now.staying[:], kept.staying[:], sched.Room.Near) {
+				t.Fatalf("%s keeps %+v of %s, there is %+v", n.name, kept, h, now)
+			}
+		}
+		for uid, j := range c.m.jobs {
+			kept := j.open
+			if j.open = nil; kept != nil && !slices.Equal(kept, j.pending()) {
+				t.Fatalf("%s keeps %v of %s, waiting are %v", n.name, kept, uid, j.pending())
+			}
+		}
+		if kept := c.m.names; kept != nil {
+			if c.m.names = nil; !slices.Equal(kept, c.m.hostNames()) {
+				t.Fatalf("%s keeps the names %v, there are %v", n.name, kept, c.m.hostNames())
+			}
+		}
+	}
+}
+
 // Under lost, late, repeated and reordered messages, crashes, outages, cuts and
 // dying machines no rule is broken, and once the troubles end every job that was
 // accepted runs.
@@ -466,6 +495,7 @@
 		s.heal()
 		for range 100 {
 			s.round()
+			s.checkKept(t)
 		}
 		for k := 0; k < 2000 && (k < 200 || !s.settled()); k++ {
 			s.round()
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -153,6 +153,19 @@
 	return i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0
 }
 
+// DoneFlags tells of the first n tasks which are done.
+func (c *Chunk) DoneFlags(n int) []bool {
+	out := make([]bool, n)
+	if c == nil {
+		return out
+	}
+	b := c.bits()
+	for i := range out {
+		out[i] = i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0
+	}
+	return out
+}
+
 // DoneCount counts the done tasks.
 func (c *Chunk) DoneCount() int {
 	if c == nil {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -147,6 +147,7 @@
 	Piece string
 	Room  Room
 	Cost  float64 // work that stopping it loses
+	Ref   int     // the caller's own number for it
 }
 
 // Preempt picks tasks on one machine whose end makes room for the task, losing
--- a/internal/sched/rent.go
+++ b/internal/sched/rent.go
@@ -28,7 +28,7 @@
 // task is taken; home breaks a tie between zones.
 func Plan(unmet []Unmet, coming []*Host, offers []Offer, home string) []Order {
 	var orders []Order
-	hosts := slices.Clone(coming)
+	hosts := open(coming, unmet)
 	var full []*Host // without accelerators left: most tasks need not look at them
 	for i := range unmet {
 		u := &unmet[i]
@@ -64,6 +64,26 @@
 	return orders
 }
 
+// open gives the machines that may have room for some of the tasks: most have
+// none, and each task is held against all that are left.
+func open(hosts []*Host, unmet []Unmet) []*Host {
+	if len(unmet) == 0 {
+		return nil
+	}
+	least := unmet[0].Ask.Need
+	for _, u := range unmet[1:] {
+		n := u.Ask.Need
+		least = Room{min(least.CPUs, n.CPUs), min(least.GPUs, n.GPUs), min(least.MemGB, n.MemGB)}
+	}
+	var out []*Host
+	for _, h := range hosts {
+		if h.Free.Fits(least) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // fitCount tells how many such tasks fit into an empty machine.
 func fitCount(c, n Room) float64 {
 	k := 1000.0
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -68,7 +68,7 @@
 		var v []Victim
 		all := free
 		for i := range rapid.IntRange(0, 5).Draw(t, "victims") {
-			v = append(v, Victim{fmt.Sprint(i), room(t, "room", 6), float64(rapid.IntRange(0, 9).Draw(t, "cost"))})
+			v = append(v, Victim{Piece: fmt.Sprint(i), Room: room(t, "room", 6), Cost: float64(rapid.IntRange(0, 9).Draw(t, "cost"))})
 			all = all.Add(v[i].Room)
 		}
 		take, _ := Preempt(free, need, slices.Clone(v))
