Idle connections make room, answers close them when crowded; nudges apart from fences

Fences of machines that boot or are cut off also took all slots of nudges. Tests: crowded and idle connections.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -73,6 +73,7 @@
 	wake    chan struct{} // the decider has something to do
 	orphans chan struct{} // a part has no owner
 	fencing chan struct{} // bounds fences under way
+	nudging chan struct{} // bounds nudges under way: fences of machines that are cut off must not hold them up
 	users   chan struct{} // bounds user requests under way
 
 	barrier struct {
@@ -109,6 +110,7 @@
 	retryAt  map[string]time.Time    // jobs that failed, when they are tried again
 	errSeen  map[string]int
 	inList   map[string]bool      // machines in the cloud's newest list
+	booting  map[string]bool      // those that it shows as starting
 	news     map[string]bool      // machines where tasks were placed, or are to leave, since their owner last looked
 	commits  map[string]commits   // by what they were for, since the last summary
 	planned  time.Duration        // processor time of plans since the last decision
@@ -147,13 +149,13 @@
 	c.http = h
 	c.store = store.New(h, cfg.External.State, cfg.HoldTTL()/3, cfg.Facts.State.RPS/n, cfg.Facts.State.WriteRPS/n, max(cfg.Facts.State.WriteRPS/n, 0.6*cfg.Facts.State.WriteRPS), c.storeAnswered)
 	c.cloud = cloud.New(h, cfg.External.Cloud, 3*time.Second, cfg.Facts.Cloud.RPS/n)
-	c.workers = worker.New(h, cfg.Report())
+	c.workers = worker.New(h, min(cfg.Report(), reportPatience/2))
 	c.peers = peer.New(h)
-	c.server = transport.NewServer(c.handle, httpwire.RequestLimits, cfg.Facts.Limits.MaxSockets*3/4)
+	c.server = transport.NewServer(c.handle, httpwire.RequestLimits, cfg.Facts.Limits.MaxSockets*5/8, 2*cfg.Lease())
 	// A peer's message holds a whole submission and a little more.
 	lim := httpwire.RequestLimits
 	lim.Body *= 2
-	c.cluster = transport.NewServer(c.handlePeer, lim, cfg.Facts.Limits.MaxSockets/16)
+	c.cluster = transport.NewServer(c.handlePeer, lim, cfg.Facts.Limits.MaxSockets/16, 2*cfg.Lease())
 	return c, nil
 }
 
@@ -161,7 +163,7 @@
 func newController(cfg *config.Settings, policy *config.Policy, log *slog.Logger) *Controller {
 	c := &Controller{cfg: cfg, policy: policy, log: log, now: time.Now, spawn: func(f func()) { go f() }, inc: rand.Uint64() >> 12, rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		wake: make(chan struct{}, 1), orphans: make(chan struct{}, 1),
-		fencing: make(chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/16)), users: make(chan struct{}, 128),
+		fencing: make(chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/16)), nudging: make(chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/32)), users: make(chan struct{}, 128),
 		mine: map[string]*ownPart{}, sessions: map[string]*part.Session{}, absent: map[string]time.Time{}, homeUp: map[string]time.Time{},
 		refused: map[string]refusal{}, past: map[string]job.Past{}, adopt: map[string]part.Machine{},
 		retryAt: map[string]time.Time{}, errSeen: map[string]int{}, news: map[string]bool{}, commits: map[string]commits{}, arrivals: map[string][]arrival{}, bias: map[string]float64{},
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -292,20 +292,20 @@
 // are dropped from then on, and learns what runs there. Call with the lock held.
 func (c *Controller) fence(ctx context.Context, host string) {
 	if s := c.sessions[host]; s != nil && !s.Fenced && c.now().Sub(s.Asked) >= c.cfg.Report() {
-		c.command(ctx, host, api.Orders{Tenure: 1, Orders: []api.Order{}})
+		c.command(ctx, host, c.fencing, api.Orders{Tenure: 1, Orders: []api.Order{}})
 	}
 }
 
 // command sends orders that may be carried out at any later time to a worker
 // directly, and takes in the report that it answers with. It tells whether there
 // was room to send them. Call with the lock held.
-func (c *Controller) command(ctx context.Context, host string, o api.Orders) bool {
+func (c *Controller) command(ctx context.Context, host string, slots chan struct{}, o api.Orders) bool {
 	m, s := c.m.hosts[host], c.sessions[host]
 	if m == nil || m.Addr == "" || s == nil {
 		return false
 	}
 	select {
-	case c.fencing <- struct{}{}:
+	case slots <- struct{}{}:
 	default:
 		return false // the next round asks again
 	}
@@ -313,7 +313,7 @@
 	term, addr := s.Term, m.Addr
 	o.Baton = s.Baton()
 	c.spawn(func() {
-		defer func() { <-c.fencing }()
+		defer func() { <-slots }()
 		for range 2 {
 			r, done, err := c.workers.Command(ctx, addr, o)
 			if err != nil {
@@ -371,7 +371,7 @@
 			}
 			s.Raise(now)
 		}
-		if !c.command(ctx, host, o) {
+		if !c.command(ctx, host, c.nudging, o) {
 			return // the rest in the next round
 		}
 		delete(c.news, host)
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -205,8 +205,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	in := map[string]bool{}
+	c.booting = map[string]bool{}
 	for _, h := range l {
 		in[h.UID] = h.Phase != "failed"
+		if h.Phase == "starting" {
+			c.booting[h.UID] = true
+		}
 		m := c.m.hosts[h.UID]
 		if m == nil {
 			// Perhaps just rented by a peer, or just returned and still listed.
@@ -266,7 +270,9 @@
 		if s.Gone {
 			continue
 		}
-		if !s.Fenced {
+		// One that boots hears nothing and hangs the connection; all are fenced
+		// once when the part is taken, for the list is late.
+		if !s.Fenced && !c.booting[host] {
 			c.fence(ctx, host)
 		}
 		c.judge(host, m, s, view)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -22,7 +22,7 @@
 		got = append(got, strings.TrimSpace(req.Method+" "+req.Target+" "+string(req.Body)))
 		path, _, _ := strings.Cut(req.Target, "?")
 		return answers[path], true
-	}, httpwire.RequestLimits, 4)
+	}, httpwire.RequestLimits, 4, time.Minute)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -4,9 +4,11 @@
 package transport
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/panjf2000/gnet/v2/pkg/logging"
@@ -32,21 +34,35 @@
 	handler  Handler
 	limits   httpwire.Limits
 	maxConns int
+	idle     time.Duration
 
 	mu     sync.Mutex
 	engine gnet.Engine
 	booted chan struct{}
-	conns  int
+
+	conns list.List // of *serverConn, those that were idle longest first; only the event loop touches it
 }
 
-// NewServer makes a server that takes requests within lim and holds at most maxConns connections.
-func NewServer(h Handler, lim httpwire.Limits, maxConns int) *Server {
-	return &Server{handler: h, limits: lim, maxConns: maxConns, booted: make(chan struct{})}
+// NewServer makes a server that takes requests within lim and holds at most
+// maxConns connections, each for as long as idle between two requests.
+//
+// Connections are kept while there is room. Beyond half of maxConns each answer
+// closes its connection, and at maxConns a new one takes the place of the one
+// that was idle longest: when one controller is left, the workers of all come to
+// it, and none may be starved of answers because others hold connections that
+// they use once in a report round. The same bounds what half requests and
+// connections that say nothing cost; those to machines that were cut off never
+// end by themselves.
+func NewServer(h Handler, lim httpwire.Limits, maxConns int, idle time.Duration) *Server {
+	return &Server{handler: h, limits: lim, maxConns: maxConns, idle: idle, booted: make(chan struct{})}
 }
 
 type serverConn struct {
+	conn   gnet.Conn
 	parser *httpwire.Parser
 	busy   bool // a request is being answered; only the event loop touches it
+	last   time.Time
+	at     *list.Element
 }
 
 // Run serves until Stop, or until the address can't be had.
@@ -82,17 +98,57 @@
 
 // OnOpen implements gnet.EventHandler.
 func (s *Server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	s.conns++
-	if s.conns > s.maxConns {
+	now := time.Now()
+	s.sweep(now)
+	if s.conns.Len() >= s.maxConns && !s.evict() {
 		return nil, gnet.Close
 	}
-	c.SetContext(&serverConn{parser: httpwire.NewParser(false, s.limits)})
+	sc := &serverConn{conn: c, parser: httpwire.NewParser(false, s.limits), last: now}
+	sc.at = s.conns.PushBack(sc)
+	c.SetContext(sc)
 	return nil, gnet.None
 }
 
+// sweep closes the connections that were idle for too long.
+func (s *Server) sweep(now time.Time) {
+	for e := s.conns.Front(); e != nil && now.Sub(e.Value.(*serverConn).last) > s.idle; e = s.conns.Front() {
+		s.drop(e.Value.(*serverConn))
+	}
+}
+
+// evict closes the connection that was idle longest; false if all are busy.
+func (s *Server) evict() bool {
+	for e := s.conns.Front(); e != nil; e = e.Next() {
+		if sc := e.Value.(*serverConn); !sc.busy {
+			s.drop(sc)
+			return true
+		}
+	}
+	return false
+}
+
+// drop forgets a connection and closes it.
+func (s *Server) drop(sc *serverConn) {
+	if sc.at != nil {
+		s.conns.Remove(sc.at)
+		sc.at = nil
+		_ = sc.conn.Close()
+	}
+}
+
+// used notes that a connection was not idle just now.
+func (s *Server) used(sc *serverConn) {
+	if sc.last = time.Now(); sc.at != nil {
+		s.conns.MoveToBack(sc.at)
+	}
+}
+
 // OnClose implements gnet.EventHandler.
-func (s *Server) OnClose(gnet.Conn, error) gnet.Action {
-	s.conns--
+func (s *Server) OnClose(c gnet.Conn, _ error) gnet.Action {
+	if sc, ok := c.Context().(*serverConn); ok && sc.at != nil {
+		s.conns.Remove(sc.at)
+		sc.at = nil
+	}
 	return gnet.None
 }
 
@@ -124,12 +180,14 @@
 		if req == nil {
 			return gnet.None
 		}
-		closing := req.Close
+		closing := req.Close || s.conns.Len() > s.maxConns/2
 		sc.busy = true
+		s.used(sc)
 		resp, now := s.handler(req, func(r Response) {
 			out := httpwire.AppendResponse(nil, r.Status, r.Body, r.RetryAfter, closing)
 			_ = c.AsyncWrite(out, func(c gnet.Conn, err error) error {
 				sc.busy = false
+				s.used(sc)
 				if closing || err != nil {
 					return c.Close()
 				}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -10,7 +10,7 @@
 	"violetturn/internal/httpwire"
 )
 
-func start(t *testing.T, h Handler) string {
+func start(t *testing.T, h Handler, idle time.Duration) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -20,7 +20,7 @@
 	if err := l.Close(); err != nil {
 		t.Fatal(err)
 	}
-	s := NewServer(h, httpwire.RequestLimits, 10)
+	s := NewServer(h, httpwire.RequestLimits, 10, idle)
 	ended := make(chan error, 1)
 	go func() { ended <- s.Run(addr) }()
 	select {
@@ -45,7 +45,7 @@
 			return Response{}, false
 		}
 		return r, true
-	})
+	}, time.Hour)
 	c, err := NewClient()
 	if err != nil {
 		t.Fatal(err)
@@ -133,3 +133,66 @@
 		t.Fatal(b.Used())
 	}
 }
+
+// hold opens a connection that says nothing, or only half a request.
+func hold(t *testing.T, addr, half string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if _, err := c.Write([]byte(half)); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// ask sends one request and tells whether it was answered and whether the
+// connection is closed with it.
+func ask(t *testing.T, addr string) (answered, closed bool) {
+	t.Helper()
+	c := hold(t, addr, "GET /now HTTP/1.1\r\nHost: x\r\n\r\n")
+	p := httpwire.NewParser(true, httpwire.ResponseLimits)
+	b := make([]byte, 4096)
+	for {
+		n, err := c.Read(b)
+		if err != nil {
+			return false, true
+		}
+		p.Feed(b[:n])
+		if m, err := p.Next(); err != nil {
+			t.Fatal(err)
+		} else if m != nil {
+			return m.Status == 200, m.Close
+		}
+	}
+}
+
+// The last controller left gets the workers of all: whoever asks is answered,
+// however many hold connections that they don't use or never finish a request.
+func TestIdleConnectionsStarveNobody(t *testing.T) {
+	addr := start(t, func(*httpwire.Message, func(Response)) (Response, bool) { return Response{Status: 200}, true }, time.Hour)
+	if ok, closed := ask(t, addr); !ok || closed {
+		t.Fatalf("with room: answered %t, closed %t", ok, closed)
+	}
+	for i := range 40 { // the server holds 10
+		hold(t, addr, []string{"", "POST /checkin HTTP/1.1\r\nContent-Length: 5\r\n\r\nab"}[i%2])
+	}
+	for range 20 {
+		if ok, closed := ask(t, addr); !ok || !closed {
+			t.Fatalf("crowded: answered %t, closed %t", ok, closed)
+		}
+	}
+}
+
+// What is idle for long goes: a connection to a machine that was cut off never
+// ends by itself.
+func TestIdleConnectionsEnd(t *testing.T) {
+	addr := start(t, func(*httpwire.Message, func(Response)) (Response, bool) { return Response{Status: 200}, true }, 0)
+	c := hold(t, addr, "")
+	ask(t, addr)
+	if _, err := c.Read(make([]byte, 1)); err == nil {
+		t.Fatal("kept")
+	}
+}
