--- a/internal/controller/found_test.go
+++ b/internal/controller/found_test.go
@@ -757,3 +757,36 @@
 		t.Fatalf("%d changes for %d machines", n, len(c.m.hosts))
 	}
 }
+
+// A worker takes raises of its token for news only now and then. Stops were once
+// announced by them, and a start on the same machine soon after waited for the
+// worker's next report: stops go directly, and the raise is kept for the start.
+func TestRaisesAreKeptForStarts(t *testing.T) {
+	s := warmSim()
+	id := s.job(func(r *api.Run, _ *time.Duration) { r.Shape, r.Pieces = api.Daemon, 1 })
+	s.rounds(t, 60, "replica runs", func() bool { return s.running(id) == 1 })
+	host := ""
+	for h := range s.hostsOf(id) {
+		host = h
+	}
+	home := int(s.nodes[0].c.m.hosts[host].Part[1] - '0')
+	c := s.nodes[home].c
+	for range 2 * int(s.w.Lease/time.Second) { // raises count again
+		s.round()
+	}
+	raises := c.sessions[host].Raises
+	s.cancel(home, id)
+	s.step(home)
+	if s.running(id) != 0 || c.sessions[host].Raises != raises {
+		t.Fatalf("stopped: %d run, %d raises", s.running(id), c.sessions[host].Raises-raises)
+	}
+	s.rounds(t, 6, "machine empty", func() bool { return len(c.m.onHost[host]) == 0 && len(c.sessions[host].Report.Pieces) == 0 })
+	next := s.job(func(r *api.Run, _ *time.Duration) { r.Shape, r.Pieces = api.Daemon, 1 })
+	for range 2 {
+		s.step(0)
+		s.step(home)
+	}
+	if on := c.m.onHost[host]; len(on) != 1 || c.sessions[host].Raises != raises+1 {
+		t.Fatalf("%s placed on %d, %d raises", next, len(on), c.sessions[host].Raises-raises)
+	}
+}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -336,8 +336,8 @@
 
 // nudgeRound has workers report at once for whom there is something new: a start
 // goes only in an answer to a report, and the next one may be a whole round
-// away. A direct command that clears ended tasks, or raises the worker's token,
-// makes it report; neither does harm whenever it is carried out.
+// away. A direct command that stops tasks, clears ended ones, or raises the
+// worker's token makes it report; none does harm whenever it is carried out.
 func (c *Controller) nudgeRound(ctx context.Context) {
 	now := c.now()
 	c.mu.Lock()
@@ -352,23 +352,17 @@
 			delete(c.news, host)
 			continue
 		}
-		o := api.Orders{Tenure: s.Report.Tenure, Orders: []api.Order{}}
-		wanted := map[attempt]bool{}
-		for _, pl := range c.m.onHost[host] {
-			if j := c.m.jobs[pl.uid]; j != nil {
-				wanted[attempt{pl.name(j), pl.p.Try}] = true
-			}
-		}
-		for _, p := range s.Report.Pieces {
-			if a := (attempt{p.Piece, p.Try}); p.Phase == api.Ended && !wanted[a] {
-				o.Orders = append(o.Orders, api.Order{Verb: api.Clear, Piece: a.name, Try: a.try})
-			}
-		}
+		o := api.Orders{Tenure: s.Report.Tenure}
+		var start bool
+		o.Orders, start = c.atOnce(host, s)
 		if len(o.Orders) == 0 {
-			if now.Sub(s.RaisedAt) < c.cfg.Lease()/2 { // more raises count as no change
+			// Raises that come sooner after one another count as no change: they are
+			// kept for starts that nothing else can announce.
+			if !start || now.Sub(s.RaisedAt) < c.cfg.Lease()/2 {
 				delete(c.news, host)
 				continue
 			}
+			o.Orders = []api.Order{}
 			s.Raise(now)
 		}
 		if !c.command(ctx, host, c.nudging, o) {
@@ -378,6 +372,46 @@
 	}
 }
 
+// atOnce gives the orders that need not wait for the worker's next report: they
+// may be carried out at any later time. It tells whether there are starts, which
+// have to. Call with the lock held.
+func (c *Controller) atOnce(host string, s *part.Session) (out []api.Order, start bool) {
+	listed := map[attempt]string{}
+	for _, p := range s.Report.Pieces {
+		listed[attempt{p.Piece, p.Try}] = p.Phase
+	}
+	for _, pl := range c.m.onHost[host] {
+		j := c.m.jobs[pl.uid]
+		if j == nil {
+			continue
+		}
+		a := attempt{pl.name(j), pl.p.Try}
+		phase, there := listed[a]
+		delete(listed, a)
+		switch {
+		case !there:
+			start = start || !pl.p.Stop && !j.main.Gone
+		case (pl.p.Stop || j.main.Gone) && (phase == api.Pulling || phase == api.Running):
+			out = append(out, haltOf(j, a))
+		}
+	}
+	for a, phase := range listed {
+		if phase == api.Ended {
+			out = append(out, api.Order{Verb: api.Clear, Piece: a.name, Try: a.try})
+		}
+	}
+	return out, start
+}
+
+// haltOf is the order that stops a task, with time to save if it can and is worth it.
+func haltOf(j *liveJob, a attempt) api.Order {
+	leeway := 0.0
+	if !j.main.Gone && j.main.Run.BookmarkS > 0 {
+		leeway = j.main.Run.StowS * 2
+	}
+	return api.Order{Verb: api.Halt, Piece: a.name, Try: a.try, LeewayS: &leeway}
+}
+
 // accept takes in a report and looks at what it says. Call with the lock held.
 func (c *Controller) accept(host string, s *part.Session, r *api.Checkin) bool {
 	old, deaf := s.Report, s.Deaf
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -170,11 +170,7 @@
 				left = left.Sub(need(&j.main.Run))
 			}
 			if l.Phase != api.Saving || j.main.Gone {
-				leeway := zero
-				if !j.main.Gone && j.main.Run.BookmarkS > 0 {
-					leeway = j.main.Run.StowS * 2
-				}
-				out = append(out, api.Order{Verb: api.Halt, Piece: name, Try: pl.p.Try, LeewayS: &leeway})
+				out = append(out, haltOf(j, a))
 			}
 		case l == nil && stop && !released:
 			// Never launched, or gone with an earlier session: this report was
