A raise announces every start: clears alone don't make a worker report

Cause: nudges that only cleared ended tasks were carried out, but the worker reported with its next round (a replay with a line for each report and command shows it).

--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -336,8 +336,9 @@
 
 // nudgeRound has workers report at once for whom there is something new: a start
 // goes only in an answer to a report, and the next one may be a whole round
-// away. A direct command that stops tasks, clears ended ones, or raises the
-// worker's token makes it report; none does harm whenever it is carried out.
+// away. A direct command that stops tasks or raises the worker's token makes it
+// report; neither does harm whenever it is carried out. (One that only clears
+// ended tasks does not make it report.)
 func (c *Controller) nudgeRound(ctx context.Context) {
 	now := c.now()
 	c.mu.Lock()
@@ -353,16 +354,15 @@
 			continue
 		}
 		o := api.Orders{Tenure: s.Report.Tenure}
-		var start bool
-		o.Orders, start = c.atOnce(host, s)
-		if len(o.Orders) == 0 {
+		var stop, start bool
+		o.Orders, stop, start = c.atOnce(host, s)
+		if !stop {
 			// Raises that come sooner after one another count as no change: they are
 			// kept for starts that nothing else can announce.
 			if !start || now.Sub(s.RaisedAt) < c.cfg.Lease()/2 {
 				delete(c.news, host)
 				continue
 			}
-			o.Orders = []api.Order{}
 			s.Raise(now)
 		}
 		if !c.command(ctx, host, c.nudging, o) {
@@ -373,9 +373,10 @@
 }
 
 // atOnce gives the orders that need not wait for the worker's next report: they
-// may be carried out at any later time. It tells whether there are starts, which
-// have to. Call with the lock held.
-func (c *Controller) atOnce(host string, s *part.Session) (out []api.Order, start bool) {
+// may be carried out at any later time, and tells whether there are stops among
+// them, and whether there are starts, which have to wait. Call with the lock held.
+func (c *Controller) atOnce(host string, s *part.Session) (out []api.Order, stop, start bool) {
+	out = []api.Order{}
 	listed := map[attempt]string{}
 	for _, p := range s.Report.Pieces {
 		listed[attempt{p.Piece, p.Try}] = p.Phase
@@ -392,7 +393,7 @@
 		case !there:
 			start = start || !pl.p.Stop && !j.main.Gone
 		case (pl.p.Stop || j.main.Gone) && (phase == api.Pulling || phase == api.Running):
-			out = append(out, haltOf(j, a))
+			out, stop = append(out, haltOf(j, a)), true
 		}
 	}
 	for a, phase := range listed {
@@ -400,7 +401,7 @@
 			out = append(out, api.Order{Verb: api.Clear, Piece: a.name, Try: a.try})
 		}
 	}
-	return out, start
+	return out, stop, start
 }
 
 // haltOf is the order that stops a task, with time to save if it can and is worth it.
