--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -48,6 +48,7 @@
 	}
 	workerService interface {
 		Command(ctx context.Context, addr string, o api.Orders) (*api.Checkin, bool, error)
+		Show(ctx context.Context, addr string) (*api.Checkin, error)
 	}
 )
 
@@ -101,6 +102,7 @@
 	sessions map[string]*part.Session
 	absent   map[string]time.Time // parts without an owner, since when
 	homeUp   map[string]time.Time // nodes alive, since when seen so
+	hearing  hearing
 	flavors  []cloud.Flavor
 	refused  map[string]refusal
 	hires    int
--- a/internal/controller/found_test.go
+++ b/internal/controller/found_test.go
@@ -790,3 +790,59 @@
 		t.Fatalf("%s placed on %d, %d raises", next, len(on), c.sessions[host].Raises-raises)
 	}
 }
+
+// A controller that loses its workers alone keeps its hold, and once kept its part
+// too, while the leases of all its workers ran out. It hands the part to one that
+// is heard, loses no replica, and has it back when it is heard again.
+func TestControllerWithoutItsWorkers(t *testing.T) {
+	s := warmSim()
+	id := s.job(func(r *api.Run, _ *time.Duration) { r.Shape, r.Pieces, r.Site = api.Daemon, 8, "y" })
+	near := s.job(func(r *api.Run, _ *time.Duration) { r.Shape, r.Pieces, r.Site = api.Daemon, 4, "x" })
+	s.rounds(t, 60, "replicas run", func() bool { return s.running(id) == 8 && s.running(near) == 4 })
+	home := "n1" // the only one in its zone
+	n := s.nodes[1]
+	n.direct.Cut = true
+	for range 4 * int(s.w.Lease/(500*time.Millisecond)) {
+		s.round()
+		if s.running(id) != 8 || s.running(near) != 4 {
+			t.Fatal("a replica was lost")
+		}
+	}
+	if o := s.owner(home); o == home || o == "" {
+		t.Fatalf("owned by %q", o)
+	}
+	more := s.job(func(r *api.Run, d *time.Duration) { r.Pieces, *d = 4, time.Second })
+	s.submit(int(home[1]-'0'), more)
+	s.rounds(t, 100, "other work done", s.done(more))
+	n.direct.Cut = false
+	s.rounds(t, 40, "part back at home", func() bool { return s.owner(home) == home })
+	// When nobody hears a worker, it may as well be the workers: parts stay owned.
+	for _, n := range s.nodes {
+		n.direct.Cut = true
+	}
+	for range 4 * int(s.w.Lease/(500*time.Millisecond)) {
+		s.round()
+	}
+	for _, n := range s.nodes {
+		if s.owner(n.name) == "" {
+			t.Fatalf("part of %s has no owner", n.name)
+		}
+	}
+	if len(s.w.Broken) > 0 {
+		t.Fatal(s.w.Broken)
+	}
+}
+
+// A job of a limited team that starves, and for which there is no machine, was
+// looked at twice: the second time what lacked room already stood as used, the
+// limit seemed reached, and nothing was ever rented for it.
+func TestStarvingJobOfLimitedTeamIsRentedFor(t *testing.T) {
+	s := warmSim()
+	s.w.Cloud.Full = true
+	id := s.job(func(r *api.Run, _ *time.Duration) { r.Owner, r.Pieces = "a", 12 }) // its limit is 5
+	for range 2 * int(mustBegin/time.Second) {
+		s.round()
+	}
+	s.w.Cloud.Full = false
+	s.rounds(t, 200, "done", s.done(id))
+}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -81,10 +81,12 @@
 			}
 		}
 	}
+	mute := c.listen(ctx, now)
 	n := c.m.nodes[me]
-	register := n.v == nil || n.v.Inc != c.inc
+	self := c.nodeRecord()
+	register := n.v == nil || n.v.Inc != c.inc || n.v.Mute != self.Mute || n.v.Hear != self.Hear
 	for _, x := range c.parts {
-		if c.m.nodes[x].v == nil {
+		if !c.listens(x) {
 			delete(c.homeUp, x)
 		} else if _, ok := c.homeUp[x]; !ok {
 			c.homeUp[x] = now
@@ -99,12 +101,14 @@
 			delete(c.absent, p)
 			o := c.mine[p]
 			switch {
-			case v.v.Node == me && (v.v.Inc != c.inc || o == nil):
+			case v.v.Node == me && (v.v.Inc != c.inc || o == nil) && !mute:
 				// Our own earlier life, which is over, or a take whose answer was
 				// lost: the key is ours and nobody else would ever act on it.
 				take = append(take, p)
 			case o != nil && o.bump:
 				take = append(take, p)
+			case o != nil && mute:
+				give = append(give, p)
 			case o != nil && o.leaving: // its release is in doubt: again, until it shows
 				give = append(give, p)
 			case o != nil && p != me:
@@ -117,14 +121,14 @@
 		if _, ok := c.absent[p]; !ok {
 			c.absent[p] = now
 		}
-		if now.Sub(c.absent[p]) >= c.turn(p) {
+		if !mute && now.Sub(c.absent[p]) >= c.turn(p) {
 			take = append(take, p)
 		}
 	}
 	c.mu.Unlock()
 	if register {
 		t := newTxn()
-		t.write(nodeKey+me, part.Own{Node: me, Inc: c.inc})
+		t.write(nodeKey+me, self)
 		t.permit[nodeKey+me] = c.permit
 		if _, _, err := c.commit(ctx, "node", t, store.Hold); errors.Is(err, store.ErrNoPermit) {
 			return
@@ -147,7 +151,7 @@
 	}
 	wait := time.Duration(0)
 	step := c.cfg.HoldTTL() / 8
-	if c.m.nodes[p].v != nil || c.m.parts[p].v == nil {
+	if c.listens(p) || c.m.parts[p].v == nil {
 		wait = 8 * step // it lives, or is only now being started, and should come for it
 	}
 	start := 0
@@ -161,7 +165,7 @@
 		if x == c.cfg.HostName {
 			break
 		}
-		if c.m.nodes[x].v != nil {
+		if c.listens(x) {
 			wait += step
 		}
 	}
@@ -419,6 +423,7 @@
 	if !s.Accept(r, c.now()) {
 		return false
 	}
+	c.heardAgain(c.now())
 	s.Seen = c.now()
 	if s.Deaf && !deaf {
 		c.log.Info("worker's lease ran out", "host", host, "why", "it does not hear its answers, or was cut off: no tasks until it obeys")
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -471,7 +471,12 @@
 			place(l, !l.q.starving)
 		}
 		for _, l := range jobs[i:n] {
-			if place(l, false); len(l.tasks) > 0 {
+			// Once only: what of a limited team lacks room counts as used, so that a
+			// second look would take the limit for reached and rent nothing.
+			if !l.q.starving {
+				place(l, false)
+			}
+			if len(l.tasks) > 0 {
 				l.tasks = l.tasks[:min(len(l.tasks), 256)] // more than could be rented for at once
 				lack = append(lack, l)
 			}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -156,8 +156,8 @@
 	}
 	body := api.JSON(x.Report())
 	to := x.Node
-	if x.Cut || !s.nodes[to].up {
-		if x.Cut && f == reportHeld {
+	if cut := x.Cut || s.nodes[to].direct.Cut; cut || !s.nodes[to].up {
+		if cut && f == reportHeld {
 			s.held = append(s.held, func() { s.deliver(to, body) })
 		}
 		x.Node = (to + 1) % len(s.nodes)
@@ -264,6 +264,9 @@
 	for _, x := range s.w.Cloud.Hosts {
 		x.Cut, x.Deaf = false, false
 	}
+	for _, n := range s.nodes {
+		n.direct.Cut = false
+	}
 }
 
 // settled tells whether every accepted array is done and known to be.
@@ -427,6 +430,10 @@
 			n := s.nodes[node(t)].name
 			s.w.Store.Cut[n] = !s.w.Store.Cut[n]
 		},
+		"cutWorkers": func(t *rapid.T) { // a controller loses its workers only
+			d := s.nodes[node(t)].direct
+			d.Cut = !d.Cut
+		},
 		"copies": func(t *rapid.T) { // reports of some time ago arrive once more
 			if len(s.copies) == 0 {
 				t.Skip("none")
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -21,6 +21,8 @@
 	Node string `json:"node"`
 	Inc  uint64 `json:"inc"` // one life of the node's process
 	Term uint64 `json:"term"`
+	Mute bool   `json:"m,omitempty"` // of a node: its workers don't reach it
+	Hear bool   `json:"h,omitempty"` // of a node: some worker does
 }
 
 // Record is a part's free-room record. Whoever places a task on a machine of
--- a/internal/standin/machines.go
+++ b/internal/standin/machines.go
@@ -283,6 +283,17 @@
 	W    *World
 	Node string
 	Held []func() // commands held back by cuts, to be carried out late
+	Cut  bool     // the node and all workers can't reach each other
+}
+
+// Show asks a worker for its report.
+func (d *Direct) Show(_ context.Context, addr string) (*api.Checkin, error) {
+	for _, x := range d.W.Cloud.Hosts {
+		if x.Addr == addr && x.Up() && !x.Cut && !x.Deaf && !d.Cut {
+			return x.Report(), nil
+		}
+	}
+	return nil, errors.New("no answer")
 }
 
 // Command sends direct orders. A worker that is cut off gets them when Held is
@@ -303,7 +314,7 @@
 		if x.Deaf {
 			break
 		}
-		if x.Cut {
+		if x.Cut || d.Cut {
 			d.Held = append(d.Held, func() { run() })
 			break
 		}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -24,6 +24,18 @@
 	return &Client{http: h, deadline: deadline}
 }
 
+// Show asks a worker for its report.
+func (c *Client) Show(ctx context.Context, addr string) (*api.Checkin, error) {
+	m, err := c.http.Once(ctx, addr, "GET", "/show", nil, c.deadline)
+	if err != nil {
+		return nil, err
+	}
+	if m.Status != 200 {
+		return nil, fmt.Errorf("worker: status %d", m.Status)
+	}
+	return api.ParseCheckin(m.Body)
+}
+
 // Command sends orders under a baton and session. It gives the worker's report
 // and whether the orders were executed.
 func (c *Client) Command(ctx context.Context, addr string, o api.Orders) (*api.Checkin, bool, error) {
