--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -50,6 +50,9 @@
 		Command(ctx context.Context, addr string, o api.Orders) (*api.Checkin, bool, error)
 		Show(ctx context.Context, addr string) (*api.Checkin, error)
 	}
+	peerService interface {
+		Ask(ctx context.Context, addr string, r *peer.Request, deadline time.Duration) (*peer.Reply, error)
+	}
 )
 
 // Controller is one node of the service.
@@ -63,7 +66,7 @@
 	store   stateService
 	cloud   cloudService
 	workers workerService
-	peers   *peer.Client
+	peers   peerService
 	cluster *transport.Server // for the peers
 	http    *transport.Client
 	server  *transport.Server
--- a/internal/controller/found_test.go
+++ b/internal/controller/found_test.go
@@ -222,6 +222,17 @@
 			s.round()
 		}
 	}
+	hang := func(s *sim) { // one machine stands still within its lease and goes on
+		s.job(func(r *api.Run, _ *time.Duration) { r.Shape, r.Pieces = api.Daemon, 3 })
+		for k := range 120 {
+			s.round()
+			for _, h := range s.w.Cloud.Names() {
+				if x := s.w.Cloud.Hosts[h]; len(x.Tasks) == 2 {
+					x.Hung = k > 60 && k < 76
+				}
+			}
+		}
+	}
 	crowd := func(s *sim) {
 		s.job(func(r *api.Run, d *time.Duration) {
 			r.Owner, r.Pieces = "a", 12
@@ -237,6 +248,7 @@
 		day    func(*sim)
 	}{
 		{"ran_twice", func(c *Controller) { c.cfg.Facts.Workers.LeaseS = 4 }, cut},
+		{"ran_twice", func(c *Controller) { c.cfg.Facts.Workers.LeaseS = 4 }, hang},
 		{"quota", func(c *Controller) { c.cfg.Facts.Teams[0].GPUsMax = 9 }, crowd},
 	} {
 		for _, mutated := range []bool{false, true} {
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -47,20 +47,25 @@
 		if !lost {
 			continue
 		}
-		for _, m := range c.cfg.Members {
-			r, err := c.peers.Ask(ctx, m.Addr, &peer.Request{Kind: peer.Request_KIND_HEALTH, From: c.cfg.HostName}, c.cfg.HoldTTL()/4)
-			c.mu.Lock()
-			if err != nil {
-				delete(c.reach.peers, m.HostName)
-			} else {
-				c.reach.peers[m.HostName] = r.GetStoreReached()
-			}
-			c.mu.Unlock()
-		}
+		c.askPeers(ctx)
+	}
+}
+
+// askPeers asks every peer whether it reaches the state service.
+func (c *Controller) askPeers(ctx context.Context) {
+	for _, m := range c.cfg.Members {
+		r, err := c.peers.Ask(ctx, m.Addr, &peer.Request{Kind: peer.Request_KIND_HEALTH, From: c.cfg.HostName}, c.cfg.HoldTTL()/4)
 		c.mu.Lock()
-		c.reach.asked = !c.reach.store
+		if err != nil {
+			delete(c.reach.peers, m.HostName)
+		} else {
+			c.reach.peers[m.HostName] = r.GetStoreReached()
+		}
 		c.mu.Unlock()
 	}
+	c.mu.Lock()
+	c.reach.asked = !c.reach.store
+	c.mu.Unlock()
 }
 
 // helper names a peer that can serve users for us while we can't reach the
@@ -119,23 +124,38 @@
 		}
 		return transport.Response{Status: 200, Body: b}
 	}
-	c.mu.Lock()
-	reached := c.loaded && c.reach.store
-	c.mu.Unlock()
-	if r.GetKind() == peer.Request_KIND_HEALTH || !reached {
-		return answer(&peer.Reply{StoreReached: reached}), true
+	if !c.serves(&r) {
+		return answer(&peer.Reply{StoreReached: c.reachedLoaded()}), true
 	}
 	select {
 	case c.users <- struct{}{}:
 	default:
-		return answer(&peer.Reply{StoreReached: reached, Status: uint32(errBusy.Status), Body: errBusy.Body, RetryAfter: uint32(errBusy.RetryAfter)}), true
+		return answer(peerReply(errBusy)), true
 	}
 	go func() {
 		defer func() { <-c.users }()
 		ctx, cancel := context.WithTimeout(context.Background(), userPatience/2)
 		defer cancel()
-		resp := c.local(ctx, &r)
-		later(answer(&peer.Reply{StoreReached: reached, Status: uint32(resp.Status), Body: resp.Body, RetryAfter: uint32(resp.RetryAfter)}))
+		later(answer(peerReply(c.local(ctx, &r))))
 	}()
 	return transport.Response{}, false
 }
+
+// reachedLoaded tells whether this node can serve users of its own and of peers.
+func (c *Controller) reachedLoaded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.loaded && c.reach.store
+}
+
+// serves tells whether a peer's request is to be carried out: it asks for more
+// than our sight of the state service, and we can.
+func (c *Controller) serves(r *peer.Request) bool {
+	return r.GetKind() != peer.Request_KIND_HEALTH && c.reachedLoaded()
+}
+
+// peerReply wraps what a user is to be told, by a node that reached the state
+// service.
+func peerReply(r transport.Response) *peer.Reply {
+	return &peer.Reply{StoreReached: true, Status: uint32(r.Status), Body: r.Body, RetryAfter: uint32(r.RetryAfter)}
+}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -17,6 +18,7 @@
 	"violetturn/internal/api"
 	"violetturn/internal/config"
 	"violetturn/internal/httpwire"
+	"violetturn/internal/peer"
 	"violetturn/internal/sched"
 	"violetturn/internal/standin"
 )
@@ -30,17 +32,57 @@
 	copies  []func()             // reports that arrived, to arrive once more, late
 	answers map[string]*inFlight // answers on their way to workers
 	uids    []string
+	cutOff  string // a zone that is cut off from everything
+	apart   bool   // the zones can't reach each other
+	refuse  bool   // connections between controllers are refused
 	log     *slog.Logger
 }
 
+func (s *sim) zone(i int) string { return s.w.Zones[i%len(s.w.Zones)] }
+
+// parted tells whether a zone and another can't reach each other.
+func (s *sim) parted(a, b string) bool {
+	return a != b && (s.apart || s.cutOff == a || s.cutOff == b)
+}
+
+// cutZone cuts a zone off, "" none.
+func (s *sim) cutZone(zone string) {
+	s.cutOff = zone
+	for i, n := range s.nodes {
+		s.w.Store.Cut[n.name], s.w.Cloud.Cut[n.name] = s.zone(i) == zone, s.zone(i) == zone
+	}
+}
+
+// link is the connection of a controller to its peers.
+type link struct {
+	s    *sim
+	from int
+}
+
+// Ask implements the controller's link.
+func (l link) Ask(ctx context.Context, addr string, r *peer.Request, _ time.Duration) (*peer.Reply, error) {
+	to := slices.IndexFunc(l.s.nodes, func(n *simNode) bool { return n.name == addr })
+	n := l.s.nodes[to]
+	if l.s.refuse || !n.works() || l.s.parted(l.s.zone(l.from), l.s.zone(to)) {
+		return nil, errors.New("refused")
+	}
+	if !n.c.serves(r) {
+		return &peer.Reply{StoreReached: n.c.reachedLoaded()}, nil
+	}
+	return peerReply(n.c.local(ctx, r)), nil
+}
+
 type simNode struct {
 	name   string
 	c      *Controller
 	direct *standin.Direct
 	aside  []func()
 	up     bool
+	still  bool // it stands still, its clock runs on
 }
 
+func (n *simNode) works() bool { return n.up && !n.still }
+
 // inFlight is an answer that a worker still waits for.
 type inFlight struct {
 	o      api.Orders
@@ -52,7 +94,7 @@
 	s := &config.Settings{HostName: names[i], Site: zones[i%len(zones)]}
 	for k, n := range names {
 		if k != i {
-			s.Members = append(s.Members, config.Member{HostName: n, Site: zones[k%len(zones)]})
+			s.Members = append(s.Members, config.Member{HostName: n, Site: zones[k%len(zones)], Addr: n})
 		}
 	}
 	f := &s.Facts
@@ -104,20 +146,24 @@
 			n.aside = append(n.aside, f)
 		}
 	}
-	n.direct = &standin.Direct{W: s.w, Node: n.name}
-	c.store = &standin.Client{S: s.w.Store, Node: n.name, TxnOps: cfg.Facts.State.TxnOps, ValueB: int(cfg.Facts.State.ValueKB * 1024)}
+	n.direct = &standin.Direct{W: s.w, Node: n.name, Apart: func(x *standin.Worker) bool { return s.parted(s.zone(i), x.Site) }}
+	c.peers = link{s, i}
+	c.store = &standin.Client{S: s.w.Store, Node: n.name, Heard: c.storeAnswered, TxnOps: cfg.Facts.State.TxnOps, ValueB: int(cfg.Facts.State.ValueKB * 1024)}
 	c.cloud = &standin.CloudClient{C: s.w.Cloud, Node: n.name}
 	c.workers = n.direct
-	n.up = true
+	n.up, n.still = true, false
 }
 
 // step lets a controller do what its loops would.
 func (s *sim) step(i int) {
 	n := s.nodes[i]
-	if !n.up {
+	if !n.works() {
 		return
 	}
 	ctx := context.Background()
+	if !n.c.reached() {
+		n.c.askPeers(ctx)
+	}
 	if n.c.loaded {
 		_ = n.c.catchUp(ctx, n.c.m.epoch, 0) // refused in an outage
 	} else {
@@ -144,7 +190,7 @@
 
 // report lets a worker report to its controller.
 func (s *sim) report(x *standin.Worker, f reportFault) {
-	if !x.Up() {
+	if !x.Up() || x.Hung {
 		return
 	}
 	if a := s.answers[x.Host]; a != nil {
@@ -156,7 +202,7 @@
 	}
 	body := api.JSON(x.Report())
 	to := x.Node
-	if cut := x.Cut || s.nodes[to].direct.Cut; cut || !s.nodes[to].up {
+	if cut := x.Cut || s.nodes[to].direct.Cut || s.parted(s.zone(to), x.Site); cut || !s.nodes[to].works() {
 		if cut && f == reportHeld {
 			s.held = append(s.held, func() { s.deliver(to, body) })
 		}
@@ -184,7 +230,7 @@
 
 func (s *sim) deliver(to int, body []byte) (int, api.Orders, string) {
 	n := s.nodes[to]
-	if !n.up {
+	if !n.works() {
 		return 0, api.Orders{}, ""
 	}
 	r := n.c.checkin(&httpwire.Message{Method: "POST", Target: "/checkin", Body: body})
@@ -199,10 +245,10 @@
 }
 
 func (s *sim) submit(i int, uid string) {
-	if !s.nodes[i].up {
+	if !s.nodes[i].works() {
 		return
 	}
-	r := s.nodes[i].c.submit(context.Background(), submission(&s.w.Jobs[uid].Run))
+	r := s.nodes[i].c.serve(context.Background(), &peer.Request{Kind: peer.Request_KIND_SUBMIT, Body: submission(&s.w.Jobs[uid].Run)})
 	s.told(uid, r.Status, r.Body, true)
 }
 
@@ -217,18 +263,18 @@
 }
 
 func (s *sim) poll(i int, uid string) {
-	if s.nodes[i].up {
-		r := s.nodes[i].c.query(context.Background(), uid)
+	if s.nodes[i].works() {
+		r := s.nodes[i].c.serve(context.Background(), &peer.Request{Kind: peer.Request_KIND_QUERY, Uid: uid})
 		s.told(uid, r.Status, r.Body, false)
 	}
 }
 
 func (s *sim) cancel(i int, uid string) {
-	if !s.nodes[i].up {
+	if !s.nodes[i].works() {
 		return
 	}
 	s.w.Jobs[uid].AskedStop = true
-	r := s.nodes[i].c.cancel(context.Background(), uid)
+	r := s.nodes[i].c.serve(context.Background(), &peer.Request{Kind: peer.Request_KIND_CANCEL, Uid: uid})
 	s.told(uid, r.Status, r.Body, false)
 }
 
@@ -256,13 +302,15 @@
 	s.w.Store.Down, s.w.Cloud.Down, s.w.Cloud.Full = false, false, false
 	clear(s.w.Store.Refuse)
 	clear(s.w.Store.Cut)
+	clear(s.w.Cloud.Cut)
+	s.cutOff, s.apart, s.refuse = "", false, false
 	for i, n := range s.nodes {
 		if !n.up {
 			s.start(i)
 		}
 	}
 	for _, x := range s.w.Cloud.Hosts {
-		x.Cut, x.Deaf = false, false
+		x.Cut, x.Deaf, x.Hung = false, false, false
 	}
 	for _, n := range s.nodes {
 		n.direct.Cut = false
@@ -434,6 +482,38 @@
 			d := s.nodes[node(t)].direct
 			d.Cut = !d.Cut
 		},
+		"hang": func(t *rapid.T) { x := host(t); x.Hung = !x.Hung },
+		"hangMany": func(t *rapid.T) { // or go on, inside and past their leases
+			hung := rapid.Bool().Draw(t, "hung")
+			for k, h := range s.w.Cloud.Names() {
+				s.w.Cloud.Hosts[h].Hung = hung && k%3 > 0
+			}
+		},
+		"killMany": func(t *rapid.T) {
+			for k, h := range s.w.Cloud.Names() {
+				if k%2 == 0 {
+					s.w.Cloud.Kill(h)
+				}
+			}
+		},
+		"zone": func(t *rapid.T) { // all else goes on for a while, or it comes back
+			s.cutZone(rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "zone"))
+		},
+		"apart":  func(t *rapid.T) { s.apart = !s.apart },
+		"unlink": func(t *rapid.T) { s.refuse = !s.refuse },
+		"stall": func(t *rapid.T) { // stands still before a transaction, and then acts on what it believed
+			n, rounds := s.nodes[node(t)], rapid.IntRange(1, 30).Draw(t, "rounds")
+			n.c.store.(*standin.Client).Stall = func() {
+				c := n.c
+				n.still = true
+				for range rounds {
+					s.round()
+				}
+				if n.c == c {
+					n.still = false
+				}
+			}
+		},
 		"copies": func(t *rapid.T) { // reports of some time ago arrive once more
 			if len(s.copies) == 0 {
 				t.Skip("none")
--- a/internal/standin/machines.go
+++ b/internal/standin/machines.go
@@ -17,6 +17,7 @@
 	Down  bool
 	Full  bool             // no capacity
 	Next  map[string]Fault // what happens to a node's next rental or return
+	Cut   map[string]bool  // nodes whose requests don't arrive
 	Hosts map[string]*Worker
 	gone  []*Worker // that the list still shows
 	hires map[string][]string
@@ -50,7 +51,7 @@
 
 // Flavors tells the machine types.
 func (c *CloudClient) Flavors(context.Context) ([]cloud.Flavor, error) {
-	if c.C.Down {
+	if c.C.Down || c.C.Cut[c.Node] {
 		return nil, cloud.ErrTrouble
 	}
 	f := c.C.w.Flavor
@@ -61,7 +62,7 @@
 func (c *CloudClient) Rent(_ context.Context, r cloud.Rental) ([]string, error) {
 	f := c.C.Next[c.Node]
 	delete(c.C.Next, c.Node)
-	if c.C.Down || f == LoseBefore {
+	if c.C.Down || c.C.Cut[c.Node] || f == LoseBefore {
 		return nil, cloud.ErrTrouble
 	}
 	if h, ok := c.C.hires[r.Hire]; ok {
@@ -89,7 +90,7 @@
 func (c *CloudClient) Return(_ context.Context, hosts []string) error {
 	f := c.C.Next[c.Node]
 	delete(c.C.Next, c.Node)
-	if c.C.Down || f == LoseBefore {
+	if c.C.Down || c.C.Cut[c.Node] || f == LoseBefore {
 		return cloud.ErrTrouble
 	}
 	for _, h := range hosts {
@@ -103,7 +104,7 @@
 
 // List tells what there was some time ago.
 func (c *CloudClient) List(context.Context) ([]cloud.Host, error) {
-	if c.C.Down {
+	if c.C.Down || c.C.Cut[c.Node] {
 		return nil, cloud.ErrTrouble
 	}
 	then := c.C.w.Now.Add(-c.C.w.Lag)
@@ -143,6 +144,7 @@
 	Node                    int  // the controller it reports to
 	Cut                     bool // no message passes, either way
 	Deaf                    bool // its reports arrive, answers and commands don't reach it
+	Hung                    bool // it executes nothing and says nothing, but may go on
 	RecallS                 *float64
 
 	rented, upAt, goneAt time.Time
@@ -184,6 +186,9 @@
 		x.session, x.renewed = x.w.Now, time.Time{}
 		return
 	}
+	if x.Hung {
+		return
+	}
 	for _, t := range x.Tasks {
 		j := x.w.Jobs[t.uid]
 		switch {
@@ -284,12 +289,14 @@
 	Node string
 	Held []func() // commands held back by cuts, to be carried out late
 	Cut  bool     // the node and all workers can't reach each other
+
+	Apart func(x *Worker) bool // whether the node and a worker can't; nil: they can
 }
 
 // Show asks a worker for its report.
 func (d *Direct) Show(_ context.Context, addr string) (*api.Checkin, error) {
 	for _, x := range d.W.Cloud.Hosts {
-		if x.Addr == addr && x.Up() && !x.Cut && !x.Deaf && !d.Cut {
+		if x.Addr == addr && x.Up() && !x.Cut && !x.Deaf && !x.Hung && !d.Cut && (d.Apart == nil || !d.Apart(x)) {
 			return x.Report(), nil
 		}
 	}
@@ -314,7 +321,7 @@
 		if x.Deaf {
 			break
 		}
-		if x.Cut || d.Cut {
+		if x.Cut || x.Hung || d.Cut || d.Apart != nil && d.Apart(x) {
 			d.Held = append(d.Held, func() { run() })
 			break
 		}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -126,17 +126,23 @@
 	Node   string
 	TxnOps int
 	ValueB int
+	Heard  func(ok bool) // hears of each request whether it was served
+	Stall  func()        // what happens before the next transaction is sent, once: its node stands still
 }
 
 // lost tells whether a request is not served: 503, or no answer at all.
 func (c *Client) lost() error {
+	var err error
 	switch {
 	case c.S.Cut[c.Node]:
-		return store.ErrUnknown
+		err = store.ErrUnknown
 	case c.S.Down || c.S.Refuse[c.Node]:
-		return store.ErrRefused
+		err = store.ErrRefused
 	}
-	return nil
+	if c.Heard != nil {
+		c.Heard(err == nil)
+	}
+	return err
 }
 
 // Get reads a key.
@@ -179,6 +185,10 @@
 
 // Multi commits a transaction, or meets the fault set for it.
 func (c *Client) Multi(_ context.Context, t *store.Txn, _ store.Rank) (uint64, bool, []string, error) {
+	if stall := c.Stall; stall != nil {
+		c.Stall = nil
+		stall()
+	}
 	if err := c.lost(); err != nil {
 		return 0, false, nil, err
 	}
