Living controllers share the rates of the state service

Cause: each controller kept to its fixed share, so that one left alone used a third (a fifth) of the changes a second for the work of all.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -36,6 +36,7 @@
 		Changes(ctx context.Context, prefix string, since uint64, block time.Duration) ([]store.Change, uint64, error)
 		Multi(ctx context.Context, t *store.Txn, r store.Rank) (epoch uint64, ok bool, failed []string, err error)
 		Ready(ctx context.Context, n int, r store.Rank) int
+		Among(controllers int)
 		Hold(ctx context.Context, ttl time.Duration) (uint64, error)
 		Touch(ctx context.Context, permit uint64) error
 		Release(ctx context.Context, permit uint64) error
@@ -106,6 +107,7 @@
 	absent   map[string]time.Time // parts without an owner, since when
 	homeUp   map[string]time.Time // nodes alive, since when seen so
 	hearing  hearing
+	sharers  int // controllers that share the state service's rates
 	flavors  []cloud.Flavor
 	refused  map[string]refusal
 	hires    int
@@ -152,7 +154,7 @@
 	n := float64(cfg.Facts.Size)
 	c := newController(cfg, policy, log)
 	c.http = h
-	c.store = store.New(h, cfg.External.State, cfg.HoldTTL()/3, cfg.Facts.State.RPS/n, cfg.Facts.State.WriteRPS/n, max(cfg.Facts.State.WriteRPS/n, 0.6*cfg.Facts.State.WriteRPS), c.storeAnswered)
+	c.store = store.New(h, cfg.External.State, cfg.HoldTTL()/3, store.Limits{RPS: cfg.Facts.State.RPS, WriteRPS: cfg.Facts.State.WriteRPS}, cfg.Facts.Size, c.storeAnswered)
 	c.cloud = cloud.New(h, cfg.External.Cloud, 3*time.Second, cfg.Facts.Cloud.RPS/n)
 	c.workers = worker.New(h, min(cfg.Report(), reportPatience/2))
 	c.peers = peer.New(h)
@@ -170,7 +172,7 @@
 		wake: make(chan struct{}, 1), orphans: make(chan struct{}, 1),
 		fencing: make(chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/16)), nudging: make(chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/32)), users: make(chan struct{}, 128),
 		mine: map[string]*ownPart{}, sessions: map[string]*part.Session{}, absent: map[string]time.Time{}, homeUp: map[string]time.Time{},
-		refused: map[string]refusal{}, past: map[string]job.Past{}, adopt: map[string]part.Machine{},
+		sharers: cfg.Facts.Size, refused: map[string]refusal{}, past: map[string]job.Past{}, adopt: map[string]part.Machine{},
 		retryAt: map[string]time.Time{}, errSeen: map[string]int{}, news: map[string]bool{}, commits: map[string]commits{}, arrivals: map[string][]arrival{}, bias: map[string]float64{},
 		reach: reach{store: true, peers: map[string]bool{}}, renting: renting{inDoubt: map[sched.Offer]cloud.Rental{}, seen: map[string]time.Time{}}}
 	c.m = newMirror(log, c.arrived, func(host string) { c.news[host] = true })
--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -66,7 +66,9 @@
 
 // secondsWrites is this controller's share of the changes of a second.
 func (c *Controller) secondsWrites() int {
-	return max(2, int(c.cfg.Facts.State.WriteRPS/float64(c.cfg.Facts.Size)))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(2, int(c.cfg.Facts.State.WriteRPS/float64(c.sharers)))
 }
 
 func (c *Controller) acting() bool {
--- a/internal/controller/found_test.go
+++ b/internal/controller/found_test.go
@@ -862,3 +862,15 @@
 	s.w.Cloud.Full = false
 	s.rounds(t, 200, "done", s.done(id))
 }
+
+// The rates of the state service are shared by the controllers that live: one that
+// was left alone once had its fifth of them for the work of all.
+func TestSurvivorHasAllOfTheRates(t *testing.T) {
+	s := warmSim()
+	c := s.nodes[0].c
+	s.rounds(t, 4, "all three share", func() bool { return c.sharers == 3 })
+	s.nodes[1].up, s.nodes[2].up = false, false
+	s.rounds(t, 20, "alone", func() bool { return c.sharers == 1 && c.secondsWrites() == 25 })
+	s.start(2)
+	s.rounds(t, 20, "two share", func() bool { return c.sharers == 2 })
+}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -81,6 +81,7 @@
 			}
 		}
 	}
+	c.shareAmong()
 	mute := c.listen(ctx, now)
 	n := c.m.nodes[me]
 	self := c.nodeRecord()
@@ -142,6 +143,21 @@
 	}
 }
 
+// shareAmong divides the state service's rates among the controllers that live: one
+// that is left alone has all of them. Call with the lock held.
+func (c *Controller) shareAmong() {
+	n := 0
+	for _, x := range c.parts {
+		if x == c.cfg.HostName || c.m.nodes[x].v != nil {
+			n++
+		}
+	}
+	if n != c.sharers {
+		c.sharers = n
+		c.store.Among(n)
+	}
+}
+
 // turn is how long this node waits before it takes a part without an owner: the
 // home controller goes first, then the others that live, in a ring order that
 // spreads several parts over several nodes. Call with the lock held.
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -259,7 +259,7 @@
 // they came together: half of what a transaction takes, so that one batch does
 // not use up the writes that decisions need.
 func (c *Controller) commitLine() {
-	most := max(1, min(c.cfg.Facts.State.TxnOps/2, int(c.cfg.Facts.State.WriteRPS/float64(c.cfg.Facts.Size)/2)))
+	most := max(1, min(c.cfg.Facts.State.TxnOps, c.secondsWrites())/2)
 	var batch, rest []*accept
 	c.line.Lock()
 	for _, a := range c.line.queue {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -219,6 +219,9 @@
 // Ready tells that any number of changes can be sent.
 func (c *Client) Ready(_ context.Context, n int, _ store.Rank) int { return n }
 
+// Among changes nothing: any number of changes can be sent.
+func (c *Client) Among(int) {}
+
 // Hold makes a hold.
 func (c *Client) Hold(_ context.Context, ttl time.Duration) (uint64, error) {
 	if err := c.lost(); err != nil {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -80,17 +80,38 @@
 	http     *transport.Client
 	addr     string
 	deadline time.Duration
+	limits   Limits
 	reqs     *transport.Budget
 	writes   *transport.Budget
 	onAnswer func(ok bool)
 }
 
-// New makes a client. deadline bounds an ordinary request; rps and writeRPS are
-// this controller's share, writeBurst how many changes it may save up: more than
-// a second's worth, as long as the others hardly ever spend theirs in the same
-// second. onAnswer hears of each request whether the service served it.
-func New(h *transport.Client, addr string, deadline time.Duration, rps, writeRPS, writeBurst float64, onAnswer func(ok bool)) *Client {
-	return &Client{http: h, addr: addr, deadline: deadline, reqs: transport.NewBudget(rps, rps), writes: transport.NewBudget(writeRPS, writeBurst), onAnswer: onAnswer}
+// Limits are the rates of the state service, for all controllers together.
+type Limits struct{ RPS, WriteRPS float64 }
+
+// New makes a client of one of so many controllers. deadline bounds an ordinary
+// request. onAnswer hears of each request whether the service served it.
+func New(h *transport.Client, addr string, deadline time.Duration, limits Limits, controllers int, onAnswer func(ok bool)) *Client {
+	c := &Client{http: h, addr: addr, deadline: deadline, limits: limits, onAnswer: onAnswer}
+	r, w, burst := c.share(controllers)
+	c.reqs, c.writes = transport.NewBudget(r, r), transport.NewBudget(w, burst)
+	return c
+}
+
+// share is what one of so many controllers may use: requests, changes, and how
+// many changes it may save up. That is more than a second's worth, as long as the
+// others hardly ever spend theirs in the same second.
+func (c *Client) share(controllers int) (reqs, writes, burst float64) {
+	n := float64(max(controllers, 1))
+	return c.limits.RPS / n, c.limits.WriteRPS / n, max(c.limits.WriteRPS/n, 0.6*c.limits.WriteRPS)
+}
+
+// Among sets the share to that of one of so many controllers.
+func (c *Client) Among(controllers int) {
+	r, w, burst := c.share(controllers)
+	now := time.Now()
+	c.reqs.Set(now, r, r)
+	c.writes.Set(now, w, burst)
 }
 
 // Used tells how many requests and writes were sent in all.
--- a/internal/transport/budget.go
+++ b/internal/transport/budget.go
@@ -22,6 +22,18 @@
 	return &Budget{rate: rate, burst: burst, have: burst}
 }
 
+// Set changes the rate and the burst; what was saved up stays, within the burst.
+func (b *Budget) Set(now time.Time, rate, burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.last.IsZero() {
+		b.have = min(b.burst, b.have+now.Sub(b.last).Seconds()*b.rate)
+		b.last = now
+	}
+	b.rate, b.burst = rate, burst
+	b.have = min(b.have, burst)
+}
+
 // Take takes n tokens if that leaves at least the share reserve (0 to 1) of
 // the burst; else it tells how long to wait before asking again.
 func (b *Budget) Take(now time.Time, n, reserve float64) (time.Duration, bool) {
@@ -59,10 +71,18 @@
 }
 
 // Burst is how many tokens the bucket holds.
-func (b *Budget) Burst() float64 { return b.burst }
+func (b *Budget) Burst() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.burst
+}
 
 // In tells how long n tokens take to come.
-func (b *Budget) In(n float64) time.Duration { return time.Duration(n / b.rate * float64(time.Second)) }
+func (b *Budget) In(n float64) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Duration(n / b.rate * float64(time.Second))
+}
 
 // Used tells how many tokens were taken in all.
 func (b *Budget) Used() float64 {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -196,3 +196,24 @@
 		t.Fatal("kept")
 	}
 }
+
+// A budget that is set anew keeps what was saved up, within the new burst.
+func TestBudgetSet(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := NewBudget(10, 10)
+	if _, ok := b.Take(now, 8, 0); !ok {
+		t.Fatal("refused within the budget")
+	}
+	b.Set(now, 30, 30)
+	if n := b.Has(now, 0); n != 2 {
+		t.Fatalf("%v of 2 are left", n)
+	}
+	now = now.Add(time.Second / 2)
+	if n := b.Has(now, 0); n != 17 {
+		t.Fatalf("%v after half a second at 30 a second", n)
+	}
+	b.Set(now, 10, 10)
+	if n := b.Has(now, 0); n != 10 {
+		t.Fatalf("%v in a burst of 10", n)
+	}
+}
