Answers while cut off go as far as cancel_s allows, counted from the last read of changes

An owner now counts from its last read of the changes, reads them with each renewal, and stops the tasks of jobs it knows withdrawn while it can't act.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -203,10 +203,17 @@
 // reports when it can't reach the store. A cancellation it can't see must end
 // within cancel_s even so: hold, grace and lease together stay below that.
 func (s *Settings) Grace() time.Duration {
-	spare := secs(s.Facts.Workers.CancelS) - s.LeaseBound() - s.HoldTTL() - 2*s.Report()
+	spare := secs(s.Facts.Workers.CancelS) - s.LeaseBound() - s.HoldTTL() - s.Report()/4
 	return max(0, min(2*s.Lease(), spare))
 }
 
+// Unseen is how long after it last read the changes an owner may answer reports: a
+// cancellation committed since then is not known to it, and its tasks must be gone
+// within cancel_s.
+func (s *Settings) Unseen() time.Duration {
+	return max(s.HoldTTL(), secs(s.Facts.Workers.CancelS)-s.LeaseBound()-s.Report()/4)
+}
+
 // Team finds a team by name.
 func (s *Settings) Team(name string) (Team, bool) {
 	for _, t := range s.Facts.Teams {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -102,6 +102,7 @@
 	reach    reach
 	permit   uint64
 	validTil time.Time // our hold surely lasts until then
+	seen     time.Time // all changes until then are in the mirror
 	mine     map[string]*ownPart
 	sessions map[string]*part.Session
 	absent   map[string]time.Time // parts without an owner, since when
@@ -306,11 +307,13 @@
 
 // load reads all that lives.
 func (c *Controller) load(ctx context.Context) error {
+	sent := c.now()
 	items, epoch, err := c.store.List(ctx, live)
 	if err != nil {
 		return err
 	}
 	c.mu.Lock()
+	c.seen = sent
 	c.m.reload(items, epoch)
 	c.loaded = true
 	c.mu.Unlock()
@@ -322,6 +325,7 @@
 
 // catchUp applies the changes after a revision; it waits up to block for some.
 func (c *Controller) catchUp(ctx context.Context, since uint64, block time.Duration) error {
+	sent := c.now()
 	log, epoch, err := c.store.Changes(ctx, live, since, block)
 	if errors.Is(err, store.ErrTooOld) {
 		c.mu.Lock()
@@ -341,6 +345,9 @@
 		}
 	}
 	c.m.advance(epoch)
+	if sent.After(c.seen) {
+		c.seen = sent
+	}
 	orphan := false
 	for _, p := range c.parts {
 		orphan = orphan || c.m.owns[p].v == nil
@@ -482,7 +489,7 @@
 // canAnswer tells whether this node may still answer reports for what it owned
 // when it last could reach the state service. Call with the lock held.
 func (c *Controller) canAnswer(now time.Time) bool {
-	return c.loaded && c.permit != 0 && now.Before(c.validTil.Add(c.cfg.Grace()))
+	return c.loaded && c.permit != 0 && now.Before(c.validTil.Add(c.cfg.Grace())) && now.Before(c.seen.Add(c.cfg.Unseen()))
 }
 
 // owned gives the part if this node owns it. Call with the lock held.
--- a/internal/controller/found_test.go
+++ b/internal/controller/found_test.go
@@ -237,6 +237,24 @@
 			s.round()
 		}
 	}
+	withdraw := func(s *sim) { // a zone is cut off when jobs there are cancelled
+		s.w.CancelS = 16 * time.Second
+		for _, n := range s.nodes {
+			if f := &n.c.cfg.Facts.Workers; f.CancelS == 40 {
+				f.CancelS = 16
+			}
+		}
+		id := s.job(func(r *api.Run, _ *time.Duration) { r.Shape, r.Pieces, r.Site = api.Daemon, 4, "y" })
+		for range 60 {
+			s.round()
+		}
+		s.cutZone("y") // with n1, which owns the machines there
+		s.round()
+		s.cancel(0, id)
+		for range 60 {
+			s.round()
+		}
+	}
 	crowd := func(s *sim) {
 		s.job(func(r *api.Run, d *time.Duration) {
 			r.Owner, r.Pieces = "a", 12
@@ -253,6 +271,7 @@
 	}{
 		{"ran_twice", func(c *Controller) { c.cfg.Facts.Workers.LeaseS = 4 }, cut},
 		{"ran_twice", func(c *Controller) { c.cfg.Facts.Workers.LeaseS = 4 }, hang},
+		{"ran_cancelled", func(c *Controller) { c.cfg.Facts.Workers.CancelS = 30 }, withdraw},
 		{"quota", func(c *Controller) { c.cfg.Facts.Teams[0].GPUsMax = 9 }, crowd},
 	} {
 		for _, mutated := range []bool{false, true} {
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -55,7 +55,11 @@
 		c.mu.Lock()
 		// Our clock may run slow against the service's: count a little less.
 		c.validTil = sent.Add(ttl - ttl/256)
+		stale := c.loaded && sent.Sub(c.seen) > ttl/4
 		c.mu.Unlock()
+		if stale { // how long we may answer once we are cut off counts from the last read
+			_ = c.newest(ctx)
+		}
 		c.tendParts(ctx)
 		return ttl / 4
 	}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -116,7 +116,14 @@
 	act := c.canAct(now)
 	out := []api.Order{}
 	if !act {
-		return out // what is committed may have changed where we can't see it
+		// What is committed may have changed where we can't see it, but a withdrawn
+		// job stays withdrawn: its tasks have to go in time.
+		for _, pl := range c.m.onHost[host] {
+			if j := c.m.jobs[pl.uid]; j != nil && j.main.Gone {
+				out = append(out, haltOf(j, attempt{pl.name(j), pl.p.Try}))
+			}
+		}
+		return out
 	}
 	listed := map[attempt]*api.PieceState{}
 	for i := range r.Pieces {
