--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -108,7 +108,8 @@
 	absent   map[string]time.Time // parts without an owner, since when
 	homeUp   map[string]time.Time // nodes alive, since when seen so
 	hearing  hearing
-	sharers  int // controllers that share the state service's rates
+	sharers  int                  // controllers that share the state service's rates
+	away     map[string]time.Time // those that have not registered, since when
 	flavors  []cloud.Flavor
 	refused  map[string]refusal
 	hires    int
@@ -173,7 +174,7 @@
 		wake: make(chan struct{}, 1), orphans: make(chan struct{}, 1),
 		fencing: make(chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/16)), nudging: make(chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/32)), users: make(chan struct{}, 128),
 		mine: map[string]*ownPart{}, sessions: map[string]*part.Session{}, absent: map[string]time.Time{}, homeUp: map[string]time.Time{},
-		sharers: cfg.Facts.Size, refused: map[string]refusal{}, past: map[string]job.Past{}, adopt: map[string]part.Machine{},
+		sharers: cfg.Facts.Size, away: map[string]time.Time{}, refused: map[string]refusal{}, past: map[string]job.Past{}, adopt: map[string]part.Machine{},
 		retryAt: map[string]time.Time{}, errSeen: map[string]int{}, news: map[string]bool{}, commits: map[string]commits{}, arrivals: map[string][]arrival{}, bias: map[string]float64{},
 		reach: reach{store: true, peers: map[string]bool{}}, renting: renting{inDoubt: map[sched.Offer]cloud.Rental{}, seen: map[string]time.Time{}}}
 	c.m = newMirror(log, c.arrived, func(host string) { c.news[host] = true })
--- a/internal/controller/found_test.go
+++ b/internal/controller/found_test.go
@@ -885,8 +885,13 @@
 // The rates of the state service are shared by the controllers that live: one that
 // was left alone once had its fifth of them for the work of all.
 func TestSurvivorHasAllOfTheRates(t *testing.T) {
-	s := warmSim()
+	s := newSim()
 	c := s.nodes[0].c
+	s.step(0)
+	s.step(0)
+	if c.sharers != 3 {
+		t.Fatalf("%d share before the others have registered", c.sharers)
+	}
 	s.rounds(t, 4, "all three share", func() bool { return c.sharers == 3 })
 	s.nodes[1].up, s.nodes[2].up = false, false
 	s.rounds(t, 20, "alone", func() bool { return c.sharers == 1 && c.secondsWrites() == 25 })
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -85,7 +85,7 @@
 			}
 		}
 	}
-	c.shareAmong()
+	c.shareAmong(now)
 	mute := c.listen(ctx, now)
 	n := c.m.nodes[me]
 	self := c.nodeRecord()
@@ -148,15 +148,24 @@
 }
 
 // shareAmong divides the state service's rates among the controllers that live: one
-// that is left alone has all of them. Call with the lock held.
-func (c *Controller) shareAmong() {
+// that is left alone has all of them. One that is not there counts until it has been
+// away for a hold's time: at the start, and when all come back, none has registered
+// yet, and to take all for oneself would have the others refused. Call with the lock
+// held.
+func (c *Controller) shareAmong(now time.Time) {
 	n := 0
 	for _, x := range c.parts {
 		if x == c.cfg.HostName || c.m.nodes[x].v != nil {
+			delete(c.away, x)
+		} else if _, ok := c.away[x]; !ok {
+			c.away[x] = now
+		}
+		if since, ok := c.away[x]; !ok || now.Sub(since) < c.cfg.HoldTTL() {
 			n++
 		}
 	}
 	if n != c.sharers {
+		c.log.Info("rates shared", "controllers", n, "before", c.sharers)
 		c.sharers = n
 		c.store.Among(n)
 	}
