--- /dev/null
+++ b/internal/controller/machines.go
@@ -0,0 +1,159 @@
+package controller
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"violetturn/internal/api"
+	"violetturn/internal/part"
+	"violetturn/internal/store"
+)
+
+// recordStrangers records machines that reported or were rented or listed
+// without a record, each in one part, by conditional writes of their pages.
+func (c *Controller) recordStrangers(ctx context.Context) bool {
+	c.mu.Lock()
+	t := newTxn()
+	pages := map[string]part.Page{}
+	var names []string
+	size := 0 // bytes of the pages
+	count := map[string]int{}
+	for _, m := range c.m.hosts {
+		count[m.Part]++
+	}
+	for _, host := range slices.Sorted(maps.Keys(c.adopt)) {
+		m := c.adopt[host]
+		if c.m.hosts[host] != nil || c.m.gone[host] {
+			delete(c.adopt, host)
+			continue
+		}
+		id := c.pageOf(host)
+		page, open := pages[id]
+		if !open {
+			if len(pages) >= c.most() || size > 48<<10-int(c.cfg.Facts.State.ValueKB*1024) {
+				break
+			}
+			page = part.Page{}
+			if old := c.m.pages[id].v; old != nil {
+				maps.Copy(page, *old)
+			}
+		}
+		m.Part = c.partFor(m.Site, count)
+		m.AtMS = c.now().UnixMilli()
+		page[host] = &m
+		bytes := len(api.JSON(page))
+		if bytes > c.valueRoom() {
+			c.log.Error("machine can't be recorded", "host", host, "why", "its page is full", "bytes", bytes)
+			delete(page, host)
+			delete(c.adopt, host)
+			continue
+		}
+		if !open {
+			size += bytes
+		}
+		pages[id] = page
+		count[m.Part]++
+		names = append(names, host)
+	}
+	for id, page := range pages {
+		t.guard(pageKey+id, c.m.pages[id].stamp)
+		t.write(pageKey+id, page)
+	}
+	c.mu.Unlock()
+	if len(names) == 0 {
+		return false
+	}
+	done, _, err := c.commit(ctx, "machines", t, store.Decision)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if done {
+		c.log.Info("machines recorded", "hosts", names)
+		for _, h := range names {
+			delete(c.adopt, h)
+		}
+	}
+	return (done || err == nil) && len(c.adopt) > 0
+}
+
+// partFor chooses the part for a machine: one whose home controller is in the
+// machine's zone, so that a zone cut off keeps its owner; of those the smallest.
+func (c *Controller) partFor(site string, count map[string]int) string {
+	zone := map[string]string{c.cfg.HostName: c.cfg.Site}
+	for _, m := range c.cfg.Members {
+		zone[m.HostName] = m.Site
+	}
+	best, bestN := "", 0
+	for _, p := range c.parts {
+		n := count[p]
+		if zone[p] != site {
+			n += 1 << 20
+		}
+		if best == "" || n < bestN {
+			best, bestN = p, n
+		}
+	}
+	return best
+}
+
+// forgetRound drops machines that are gone and empty from their pages: several
+// at once, now and then, since nothing waits for it.
+func (c *Controller) forgetRound(ctx context.Context) bool {
+	now := c.now()
+	c.mu.Lock()
+	if now.Sub(c.forgotAt) < c.cfg.Lease()/4 {
+		c.mu.Unlock()
+		return false
+	}
+	t := newTxn()
+	pages := map[string]part.Page{}
+	size := 0 // bytes of the pages
+	var names []string
+	for host, s := range c.sessions {
+		m := c.m.hosts[host]
+		if !s.Gone || m == nil || c.owned(m.Part) == nil || len(c.m.onHost[host]) > 0 {
+			continue
+		}
+		if _, in := c.m.parts[m.Part].v.Free[host]; in {
+			continue // upkeep comes first: no thief may still put a task there
+		}
+		id := c.pageOf(host)
+		page, open := pages[id]
+		if !open {
+			if len(pages) >= c.most() || size > 48<<10-int(c.cfg.Facts.State.ValueKB*1024) {
+				continue
+			}
+			page = maps.Clone(*c.m.pages[id].v)
+			size += len(api.JSON(page))
+			pages[id] = page
+		}
+		c.guardOwn(t, m.Part)
+		t.guard(partKey+m.Part, c.m.parts[m.Part].stamp)
+		delete(page, host)
+		names = append(names, host)
+	}
+	for id, page := range pages {
+		t.guard(pageKey+id, c.m.pages[id].stamp)
+		if len(page) == 0 {
+			t.drop(pageKey + id)
+		} else {
+			t.write(pageKey+id, page)
+		}
+	}
+	c.mu.Unlock()
+	if len(names) == 0 {
+		return false
+	}
+	done, _, _ := c.commit(ctx, "forgotten", t, store.Decision)
+	if done {
+		slices.Sort(names)
+		c.mu.Lock()
+		c.forgotAt = now
+		for _, h := range names {
+			c.forget(h)
+		}
+		c.mu.Unlock()
+		c.log.Info("machines forgotten", "hosts", names)
+	}
+	return false
+}
--- /dev/null
+++ b/internal/controller/place.go
@@ -0,0 +1,280 @@
+package controller
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"violetturn/internal/api"
+	"violetturn/internal/part"
+	"violetturn/internal/sched"
+	"violetturn/internal/store"
+)
+
+// placeRound commits what one plan places: own placements, and claims on peers'
+// room by conditional write on their parts' free-room records; and with them the
+// marks of the tasks that have to leave for some. What comes together goes into
+// one transaction, so that a job whose tasks go to several parts is written once.
+func (c *Controller) placeRound(ctx context.Context) bool {
+	c.mu.Lock()
+	var todo []placement
+	if c.waiting() {
+		todo = c.plan(c.now()).places
+	}
+	c.mu.Unlock()
+	for tries := 0; len(todo) > 0 && tries < 3; {
+		// Every placement in a part changes its record. Looking at the newest
+		// one first costs a request, being overtaken costs all changes.
+		room := c.store.Ready(ctx, min(jobsOf(todo)+len(c.parts), c.cfg.Facts.State.TxnOps), store.Decision)
+		if room < 3 || !c.acting() || c.newest(ctx) != nil {
+			return false
+		}
+		c.mu.Lock()
+		t, rest, said := c.placeTxn(todo, room, c.now())
+		c.mu.Unlock()
+		if t == nil {
+			break
+		}
+		done, _, err := c.commit(ctx, "places", t, store.Decision)
+		switch {
+		case done:
+			todo, tries = rest, 0
+			for _, l := range said {
+				c.log.Info("task placed", l...)
+			}
+		case err == nil: // overtaken: what lost is tried again on what there is now
+			tries++
+		default:
+			return false
+		}
+	}
+	return false
+}
+
+// waiting tells whether a job of an own part has tasks to place. Call with the
+// lock held.
+func (c *Controller) waiting() bool {
+	for _, j := range c.m.jobs {
+		if !j.main.Gone && len(j.pending()) > 0 && c.owned(j.main.Part) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// jobsOf counts the jobs that placements change.
+func jobsOf(l []placement) int {
+	seen := map[string]bool{}
+	for _, x := range l {
+		seen[x.uid] = true
+		for _, v := range x.victims {
+			seen[v.uid] = true
+		}
+	}
+	return len(seen)
+}
+
+// claim is what a transaction takes of a part's room.
+type claim struct {
+	free   part.Free
+	use    map[string][3]float64
+	shares map[string]sched.Room
+}
+
+// claimOn opens a part for placements: an own one with its room as it is, a
+// peer's as its record says. Call with the lock held.
+func (c *Controller) claimOn(p string, now time.Time) *claim {
+	rec := c.m.parts[p]
+	if rec.v == nil || c.m.owns[p].v == nil {
+		return nil
+	}
+	x := &claim{free: part.Free{}, shares: map[string]sched.Room{}}
+	if c.owned(p) != nil {
+		for h, r := range c.freeOf(p, now) {
+			x.free[h] = part.Vec(r)
+		}
+		x.use = c.useOf(p)
+		return x
+	}
+	maps.Copy(x.free, rec.v.Free)
+	x.use = map[string][3]float64{}
+	maps.Copy(x.use, rec.v.Use)
+	return x
+}
+
+// claims are the parts that a transaction takes room of.
+type claims struct {
+	c    *Controller
+	by   map[string]*claim
+	more int // changes of other records than jobs'
+}
+
+// take checks one placement against what there is now and claims its room; cost
+// is how many changes it adds besides the jobs' own. Nothing is claimed before
+// ok is called.
+func (x *claims) take(pl placement, now time.Time) (j *liveJob, cost int, ok func()) {
+	c := x.c
+	j = c.m.jobs[pl.uid]
+	if j == nil || j.main.Gone || j.main.Finished(pl.chunk) || c.owned(j.main.Part) == nil {
+		return nil, 0, nil
+	}
+	old := j.chunks[pl.chunk].v
+	if old.PlaceOf(pl.index) != nil || old.Done(pl.index) {
+		return nil, 0, nil
+	}
+	p := pl.host.Part
+	cl, open := x.by[p], true
+	if cl == nil {
+		if cl, open = c.claimOn(p, now), false; cl == nil {
+			return nil, 0, nil
+		}
+		cost++
+	}
+	r := &j.main.Run
+	n := need(r)
+	f, in := cl.free[pl.host.Name]
+	fits := len(pl.victims) == 0
+	if fits && (!in || !part.Unvec(f).Fits(n)) {
+		return nil, 0, nil // the record has moved on
+	}
+	use := part.Unvec(cl.use[r.Owner]).Add(n)
+	share, grown, within := c.share(r.Owner, p, use, cl.shares, x.by)
+	if !within {
+		return nil, 0, nil // the team's limit
+	}
+	if grown {
+		cost++
+	}
+	return j, cost, func() {
+		if !open {
+			x.by[p] = cl
+			x.more++
+		}
+		if team, _ := c.cfg.Team(r.Owner); team.Limited() {
+			cl.use[r.Owner] = part.Vec(use)
+			if grown {
+				cl.shares[r.Owner] = share
+				x.more++
+			}
+		}
+		if fits {
+			cl.free[pl.host.Name] = part.Vec(part.Unvec(f).Sub(n))
+		} else {
+			delete(cl.free, pl.host.Name) // its owner tells what is free when the others have left
+		}
+	}
+}
+
+// write writes the parts' records and shares.
+func (x *claims) write(t *txn) {
+	shares := map[string]map[string]sched.Room{}
+	for p, cl := range x.by {
+		x.c.writePart(t, p, cl.free, cl.use)
+		shares[p] = cl.shares
+	}
+	x.c.writeShares(t, shares)
+}
+
+// put places a task and tells what to log of it. Call with the lock held.
+func (c *Controller) put(e *edit, j *liveJob, x placement, now time.Time) []any {
+	r := &j.main.Run
+	c.guardOwn(e.t, j.main.Part)
+	e.t.guard(jobKey+r.UID, j.stamp)
+	ch := e.chunk(j, x.chunk)
+	if r.Together && j.main.Zone == "" {
+		e.main(j).Zone = x.host.Site
+	}
+	try := ch.Put(x.index, x.host.Name, max(0, (now.UnixMilli()-j.main.AtMS)/1000))
+	return []any{"task", api.PieceName(r.UID, x.chunk*j.main.Chunk+x.index), "try", try, "host", x.host.Name, "part", x.host.Part, "own", x.host.Part == j.main.Part, "image", r.Bundle, "warm", x.host.Warm[r.Bundle]}
+}
+
+// zoneOK tells whether the job's other tasks leave a zone to one of its tasks;
+// zs keeps what was worked out for each job.
+func (c *Controller) zoneOK(zs map[string]*zones, j *liveJob, x placement) bool {
+	z := zs[x.uid]
+	if z == nil {
+		z = c.zonesOf(j)
+		zs[x.uid] = z
+	}
+	return z.ok(x.chunk, x.host.Site)
+}
+
+// placeTxn commits as many placements as a transaction and the budget take. The
+// plan may be older than the mirror, so each is looked at again. A placement that
+// takes the room of others goes together with their marks: the owner's next
+// answer stops the ones and starts the other, instead of a round of commits and
+// reports for each. Call with the lock held.
+func (c *Controller) placeTxn(todo []placement, room int, now time.Time) (t *txn, rest []placement, said [][]any) {
+	e := c.edit()
+	e.most = min(e.most, room)
+	cl := &claims{c: c, by: map[string]*claim{}}
+	zs := map[string]*zones{}
+	for i, x := range todo {
+		j, more, ok := cl.take(x, now)
+		if j == nil || !c.zoneOK(zs, j, x) {
+			continue
+		}
+		more += e.cost(j, x.chunk)
+		if j.main.Run.Together && j.main.Zone == "" {
+			more++
+		}
+		there := true
+		for _, v := range x.victims {
+			k := c.m.jobs[v.uid]
+			if k == nil {
+				there = false
+				break
+			}
+			p := k.chunks[v.chunk].v.PlaceOf(v.index)
+			there = there && p != nil && p.Try == v.p.Try && !p.Stop
+			more += e.cost(k, v.chunk)
+		}
+		if !there {
+			continue // the room may be free by now: planned anew
+		}
+		if more > 0 && e.full(more, cl.more) {
+			rest = append(rest, todo[i:]...)
+			break
+		}
+		ok()
+		line := c.put(e, j, x, now)
+		for _, v := range x.victims {
+			k := c.m.jobs[v.uid]
+			e.chunk(k, v.chunk).Places[v.index].Stop = true
+			line = append(line, "leaves", v.name(k))
+		}
+		said = append(said, line)
+		zs[x.uid].add(x.chunk, x.host.Site)
+	}
+	if len(said) == 0 {
+		return nil, nil, nil
+	}
+	t = e.txn()
+	cl.write(t)
+	return t, rest, said
+}
+
+// share tells whether a team may use so much in a part, by the share of its
+// limit that the part holds, or will hold after growing it; with other parts'
+// growth in the same transaction. Call with the lock held.
+func (c *Controller) share(team, p string, use sched.Room, grown map[string]sched.Room, claims map[string]*claim) (sched.Room, bool, bool) {
+	x, _ := c.cfg.Team(team)
+	if !x.Limited() {
+		return sched.Room{}, false, true
+	}
+	held, others := c.shareOf(team, p)
+	for q, cl := range claims {
+		if g, ok := cl.shares[team]; ok && q != p {
+			was, _ := c.shareOf(team, q)
+			others = others.Add(g).Sub(was)
+		}
+	}
+	if g, ok := grown[team]; ok {
+		held = g
+	}
+	if sched.Within(limitOf(x), held, use) {
+		return held, false, true
+	}
+	more, ok := sched.Share(limitOf(x), others, use)
+	return more, true, ok
+}
