--- a/internal/api/checkin.go
+++ b/internal/api/checkin.go
@@ -9,9 +9,10 @@
 
 // Task states in reports.
 const (
-	Pulling = "pulling"
-	Saving  = "saving"
-	Ended   = "ended"
+	Pulling   = "pulling"
+	Gathering = "gathering" // of a gang: waits for the other tasks of its attempt
+	Saving    = "saving"
+	Ended     = "ended"
 )
 
 // Causes of a task's end.
@@ -22,8 +23,30 @@
 	CauseNoRoom  = "no_room"
 	CauseBusy    = "busy"
 	CauseUnknown = "unknown"
+	CauseMates   = "mates_gone" // of a gang: another task of it is gone
+	CauseAlone   = "alone"      // of a gang: it was not complete in time
 )
 
+// KnownPhase and KnownCause tell whether PROTOCOL, as this version knows it, has such
+// a word. What it does not have is read as a task that runs, and as an end without
+// success that is nobody's fault.
+func KnownPhase(s string) bool {
+	switch s {
+	case Pulling, Gathering, Running, Saving, Ended:
+		return true
+	}
+	return false
+}
+
+// KnownCause is said of causes of an end.
+func KnownCause(s string) bool {
+	switch s {
+	case CauseDone, CauseStopped, CauseError, CauseNoRoom, CauseBusy, CauseUnknown, CauseMates, CauseAlone:
+		return true
+	}
+	return false
+}
+
 // PieceState is one task in a report.
 type PieceState struct {
 	Piece string `json:"piece"`
--- a/internal/api/run.go
+++ b/internal/api/run.go
@@ -13,8 +13,9 @@
 
 // Shapes of jobs.
 const (
-	Sweep  = "sweep"
-	Daemon = "daemon"
+	Sweep    = "sweep"
+	Daemon   = "daemon"
+	Ensemble = "ensemble" // a gang: all tasks at the same time or none
 )
 
 // Phases of jobs.
@@ -86,6 +87,15 @@
 	return uid, ValidUID(uid)
 }
 
+// ShapeOf reads only the shape of a submission, "" if it can't be read.
+func ShapeOf(body []byte) string {
+	var m struct {
+		Shape string `json:"shape"`
+	}
+	_ = json.Unmarshal(body, &m) // what can't be read has no shape
+	return m.Shape
+}
+
 type fields struct {
 	m   map[string]json.RawMessage
 	err error
@@ -135,7 +145,7 @@
 	f.text("lane", &r.Lane)
 	f.text("owner", &r.Owner)
 	f.text("shape", &r.Shape)
-	f.check("shape", r.Shape == Sweep || r.Shape == Daemon)
+	f.check("shape", r.Shape == Sweep || r.Shape == Daemon || r.Shape == Ensemble)
 	f.text("rank", &r.Rank)
 	_, ok := ranks[r.Rank]
 	f.check("rank", ok)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -96,37 +96,43 @@
 
 	renting renting
 
-	mu       sync.Mutex
-	m        *mirror
-	loaded   bool
-	reach    reach
-	permit   uint64
-	validTil time.Time // our hold surely lasts until then
-	seen     time.Time // all changes until then are in the mirror
-	mine     map[string]*ownPart
-	sessions map[string]*part.Session
-	absent   map[string]time.Time // parts without an owner, since when
-	homeUp   map[string]time.Time // nodes alive, since when seen so
-	hearing  hearing
-	sharers  int                  // controllers that share the state service's rates
-	away     map[string]time.Time // those that have not registered, since when
-	flavors  []cloud.Flavor
-	refused  map[string]refusal
-	hires    int
-	past     map[string]job.Past
-	pastKeys []string
-	adopt    map[string]part.Machine // strangers to be recorded
-	retryAt  map[string]time.Time    // jobs that failed, when they are tried again
-	errSeen  map[string]int
-	inList   map[string]bool      // machines in the cloud's newest list
-	booting  map[string]bool      // those that it shows as starting
-	news     map[string]bool      // machines where tasks were placed, or are to leave, since their owner last looked
-	commits  map[string]commits   // by what they were for, since the last summary
-	planned  time.Duration        // processor time of plans since the last decision
-	forgotAt time.Time            // when machines were last forgotten
-	movedAt  time.Time            // when replicas were last moved to save a machine
-	bias     map[string]float64   // by lane, run times against estimates
-	arrivals map[string][]arrival // by lane, the recent ones
+	mu                 sync.Mutex
+	m                  *mirror
+	loaded             bool
+	reach              reach
+	permit             uint64
+	validTil           time.Time // our hold surely lasts until then
+	seen               time.Time // all changes until then are in the mirror
+	mine               map[string]*ownPart
+	sessions           map[string]*part.Session
+	absent             map[string]time.Time // parts without an owner, since when
+	homeUp             map[string]time.Time // nodes alive, since when seen so
+	hearing            hearing
+	sharers            int                  // controllers that share the state service's rates
+	away               map[string]time.Time // those that have not registered, since when
+	flavors            []cloud.Flavor
+	refused            map[string]refusal
+	hires              int
+	past               map[string]job.Past
+	pastKeys           []string
+	adopt              map[string]part.Machine // strangers to be recorded
+	retryAt            map[string]time.Time    // jobs that failed, when they are tried again
+	errSeen            map[string]int
+	inList             map[string]bool    // machines in the cloud's newest list
+	booting            map[string]bool    // those that it shows as starting
+	news               map[string]bool    // machines where tasks were placed, or are to leave, since their owner last looked
+	commits            map[string]commits // by what they were for, since the last summary
+	planned            time.Duration      // processor time of plans since the last decision
+	forgotAt           time.Time          // when machines were last forgotten
+	movedAt            time.Time          // when replicas were last moved to save a machine
+	fallen             bool               // the state service has refused what was larger than its coming limits
+	leastOps           int                // changes in a transaction that it took less than announced for; 0: not so
+	gangs              map[string]*gangState
+	missed             map[string]bool // gangs whose claims are to be released
+	dividedAt, sweptAt time.Time
+	narrow             map[string]int       // jobs with a record that outgrew a value: their generation then, from 1 on
+	bias               map[string]float64   // by lane, run times against estimates
+	arrivals           map[string][]arrival // by lane, the recent ones
 }
 
 // ownPart is a part that this node owns.
@@ -156,7 +162,8 @@
 	n := float64(cfg.Facts.Size)
 	c := newController(cfg, policy, log)
 	c.http = h
-	c.store = store.New(h, cfg.External.State, cfg.HoldTTL()/3, store.Limits{RPS: cfg.Facts.State.RPS, WriteRPS: cfg.Facts.State.WriteRPS}, cfg.Facts.Size, c.storeAnswered)
+	low := cfg.Lowest()
+	c.store = store.New(h, cfg.External.State, cfg.HoldTTL()/3, store.Limits{RPS: cfg.Facts.State.RPS, WriteRPS: cfg.Facts.State.WriteRPS}, store.Limits{RPS: low.RPS, WriteRPS: low.WriteRPS}, cfg.Facts.Size, c.storeAnswered)
 	c.cloud = cloud.New(h, cfg.External.Cloud, 3*time.Second, cfg.Facts.Cloud.RPS/n)
 	c.workers = worker.New(h, min(cfg.Report(), reportPatience/2))
 	c.peers = peer.New(h)
@@ -175,7 +182,7 @@
 		fencing: make(chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/16)), nudging: make(chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/32)), users: make(chan struct{}, 128),
 		mine: map[string]*ownPart{}, sessions: map[string]*part.Session{}, absent: map[string]time.Time{}, homeUp: map[string]time.Time{},
 		sharers: cfg.Facts.Size, away: map[string]time.Time{}, refused: map[string]refusal{}, past: map[string]job.Past{}, adopt: map[string]part.Machine{},
-		retryAt: map[string]time.Time{}, errSeen: map[string]int{}, news: map[string]bool{}, commits: map[string]commits{}, arrivals: map[string][]arrival{}, bias: map[string]float64{},
+		retryAt: map[string]time.Time{}, errSeen: map[string]int{}, news: map[string]bool{}, narrow: map[string]int{}, gangs: map[string]*gangState{}, missed: map[string]bool{}, commits: map[string]commits{}, arrivals: map[string][]arrival{}, bias: map[string]float64{},
 		reach: reach{store: true, peers: map[string]bool{}}, renting: renting{inDoubt: map[sched.Offer]cloud.Rental{}, seen: map[string]time.Time{}}}
 	c.m = newMirror(log, c.arrived, func(host string) { c.news[host] = true })
 	c.m.onEnd = c.remember
@@ -265,6 +272,12 @@
 				delete(c.retryAt, uid)
 			}
 		}
+		for uid := range c.gangs {
+			if c.m.jobs[uid] == nil {
+				delete(c.gangs, uid)
+				delete(c.missed, uid)
+			}
+		}
 		c.mu.Unlock()
 		reqs, writes = r, w
 	}
@@ -477,6 +490,9 @@
 	}
 	if err != nil {
 		c.log.Debug("commit failed", "err", err)
+		if c.tooLarge(err, w) {
+			return false, nil, nil // put together anew, smaller
+		}
 	}
 	// Refused, overtaken or in doubt: what it wrote shows in the log of changes.
 	_ = c.fresh(ctx)
--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
-	"strconv"
+	"strings"
 	"time"
 
 	"violetturn/internal/api"
@@ -47,10 +47,10 @@
 func (c *Controller) decide(ctx context.Context) {
 	// Under load the budget of changes sets the pace: what comes together while
 	// it fills goes into few large transactions instead of many small ones.
-	if !c.acting() || c.store.Ready(ctx, min(c.cfg.Facts.State.TxnOps, c.secondsWrites()), store.Decision) < 2 || c.newest(ctx) != nil {
+	if !c.acting() || c.store.Ready(ctx, min(c.cfg.Lowest().TxnOps, c.secondsWrites()), store.Decision) < 2 || c.newest(ctx) != nil {
 		return
 	}
-	steps := []func(context.Context) bool{c.recordStrangers, c.releaseRound, c.retireRound, c.placeRound, c.upkeepRound, c.forgetRound}
+	steps := []func(context.Context) bool{c.recordStrangers, c.gangRound, c.releaseRound, c.retireRound, c.placeRound, c.upkeepRound, c.forgetRound, c.divideRound}
 	for _, step := range steps {
 		for range 16 { // each step commits one transaction at a time
 			if !c.acting() || ctx.Err() != nil {
@@ -68,7 +68,7 @@
 func (c *Controller) secondsWrites() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return max(2, int(c.cfg.Facts.State.WriteRPS/float64(c.sharers)))
+	return max(2, int(c.cfg.Lowest().WriteRPS/float64(c.sharers)))
 }
 
 func (c *Controller) acting() bool {
@@ -103,7 +103,16 @@
 }
 
 // valueRoom is how many bytes of a value records may use.
-func (c *Controller) valueRoom() int { return int(c.cfg.Facts.State.ValueKB * 1024 * 7 / 8) }
+func (c *Controller) valueRoom() int { return int(c.cfg.Lowest().ValueKB * 1024 * 7 / 8) }
+
+// pageRoom is the same for pages, which the version before makes of today's size. Call
+// with the lock held.
+func (c *Controller) pageRoom() int {
+	if c.upgraded() || c.fallen {
+		return c.valueRoom()
+	}
+	return int(c.cfg.Facts.State.ValueKB * 1024 * 7 / 8)
+}
 
 // useOf sums what limited teams' tasks hold in a part, ended ones that are not
 // yet committed as such included: another owner might start them anew. Call with
@@ -183,8 +192,9 @@
 	mains  map[string]*job.Main
 	chunks map[chunkID]*job.Chunk
 	drops  map[chunkID]bool
-	n      int // changes so far
-	most   int // changes at most
+	n      int  // changes so far
+	most   int  // changes at most
+	tight  bool // some record outgrew a value: nothing of this is to be committed
 }
 
 func (c *Controller) edit() *edit {
@@ -196,7 +206,7 @@
 // to earn them, and at least as many as one step needs.
 func (c *Controller) most() int {
 	const step = 4
-	return min(c.cfg.Facts.State.TxnOps, max(step, c.store.Ready(context.Background(), 0, store.Decision)))
+	return min(c.limits().TxnOps, max(step, c.store.Ready(context.Background(), 0, store.Decision)))
 }
 
 // main gives a copy of the job's main record to be changed.
@@ -219,9 +229,13 @@
 	if ch == nil {
 		ch = j.chunks[n].v.Copy()
 		e.chunks[id], e.jobs[id.uid] = ch, j
-		if j.main.Inner {
+		// The main record's version covers a gang's tasks and those of a job that is
+		// being divided, wherever they are recorded.
+		e.t.guard(jobKey+id.uid, j.stamp)
+		if j.main.Inner || j.main.Run.Shape == api.Ensemble {
 			e.main(j)
-		} else {
+		}
+		if !j.main.Inner {
 			e.t.guard(j.chunkAt(n))
 			e.n++
 		}
@@ -232,10 +246,26 @@
 // cost is how many changes opening a chunk adds.
 func (e *edit) cost(j *liveJob, n int) int {
 	uid := j.main.Run.UID
-	if e.chunks[chunkID{uid, n}] != nil || j.main.Inner && e.mains[uid] != nil {
+	if e.chunks[chunkID{uid, n}] != nil {
 		return 0
 	}
-	return 1
+	k := 0
+	if !j.main.Inner {
+		k++
+	}
+	if (j.main.Inner || j.main.Run.Shape == api.Ensemble) && e.mains[uid] == nil {
+		k++
+	}
+	return k
+}
+
+// dropChunk drops a chunk's record of a job that is over.
+func (e *edit) dropChunk(j *liveJob, n int) {
+	uid := j.main.Run.UID
+	e.t.guard(jobKey+uid, j.stamp)
+	e.t.guard(j.chunkAt(n))
+	e.t.drop(chunkKey(uid, j.main.Gen, n))
+	e.n++
 }
 
 // done moves a job to the past.
@@ -259,9 +289,9 @@
 				m.Only = ch
 			}
 		case e.drops[id]:
-			e.t.drop(taskKey + id.uid + "/" + strconv.Itoa(id.n))
+			e.t.drop(chunkKey(id.uid, j.main.Gen, id.n))
 		default:
-			e.t.write(taskKey+id.uid+"/"+strconv.Itoa(id.n), ch)
+			e.t.write(chunkKey(id.uid, j.main.Gen, id.n), ch)
 		}
 	}
 	for uid, m := range e.mains {
@@ -269,6 +299,15 @@
 			e.t.write(jobKey+uid, m)
 		}
 	}
+	most := e.c.mostBytes()
+	for uid, j := range e.jobs {
+		for _, k := range e.t.order {
+			if len(e.t.writes[k]) > most && (k == jobKey+uid || strings.HasPrefix(k, taskKey+uid+"/")) {
+				e.c.narrow[uid] = j.main.Gen + 1 // divided before it is changed again
+				e.tight = true
+			}
+		}
+	}
 	return e.t
 }
 
@@ -276,7 +315,7 @@
 // limits of a transaction.
 func (e *edit) full(more, others int) bool {
 	const guards, bytes = 4, 48 << 10 // of PROTOCOL's 4 guards for each change and 64 KiB
-	f := &e.c.cfg.Facts.State
+	f := e.c.limits()
 	each := 512.0 // bytes of a change and its guard, records aside
 	size := 0.0
 	for id, ch := range e.chunks {
@@ -333,7 +372,7 @@
 		} else {
 			l.sweeps++
 		}
-		if j.main.Gone || pl.p.Stop {
+		if j.leaves(pl.p) {
 			l.leaving = l.leaving.Add(n)
 		} else if rank, _ := api.RankOf(j.main.Run.Rank); rank < len(l.staying) {
 			l.staying[rank] = l.staying[rank].Add(n)
@@ -467,10 +506,10 @@
 	more := false
 	for _, k := range keys {
 		ends := chunks[k]
-		if !c.due(k, ends, now) {
+		j := c.m.jobs[k.uid]
+		if j.main.Run.Shape == api.Ensemble || c.blocked(j) || !c.due(k, ends, now) {
 			continue
 		}
-		j := c.m.jobs[k.uid]
 		cost := 3 // chunk, main record and past record
 		if j.main.Inner {
 			cost = 2
@@ -498,8 +537,8 @@
 	n := e.n
 	t := e.txn()
 	c.mu.Unlock()
-	if n == 0 {
-		return false
+	if n == 0 || e.tight {
+		return e.tight
 	}
 	done, _, err := c.commit(ctx, "ends", t, store.Decision)
 	return more && (done || err == nil)
@@ -509,8 +548,9 @@
 func (c *Controller) retireRound(ctx context.Context) bool {
 	c.mu.Lock()
 	e := c.edit()
-	for uid, j := range c.m.jobs {
-		if !j.main.Gone || c.owned(j.main.Part) == nil || e.full(4, 0) {
+	for _, j := range c.m.jobs {
+		over := j.main.Gone || j.main.Gang != nil && j.main.Gang.Done
+		if !over || c.owned(j.main.Part) == nil || e.full(2, 0) {
 			continue
 		}
 		on, done := 0, j.main.FinishedTasks()
@@ -520,31 +560,33 @@
 				done += ch.v.DoneCount()
 			}
 		}
-		if on > 0 {
+		past := job.Past{Phase: api.Withdrawn, Done: done}
+		if j.main.Gang != nil && j.main.Gang.Done {
+			past = job.Past{Phase: api.Done, Done: j.main.Run.Pieces}
+		} else if on > 0 {
 			continue
 		}
 		c.guardOwn(e.t, j.main.Part)
 		all := true
 		if !j.main.Inner {
 			for n := range j.chunks {
-				if e.full(4, 0) {
+				if e.full(1, 0) {
 					all = false
 					break
 				}
-				e.chunk(j, n)
-				e.drops[chunkID{uid, n}] = true
+				e.dropChunk(j, n)
 			}
 		}
 		// No start can come between: it would need the job not withdrawn.
-		if all {
-			e.done(j, job.Past{Phase: api.Withdrawn, Done: done})
+		if all && !e.full(2, 0) {
+			e.done(j, past)
 		}
 	}
 	n := e.n
 	t := e.txn()
 	c.mu.Unlock()
-	if n == 0 {
-		return false
+	if n == 0 || e.tight {
+		return e.tight
 	}
 	ok, _, _ := c.commit(ctx, "withdrawn", t, store.Decision)
 	return ok
@@ -582,6 +624,12 @@
 		if maps.Equal(out, rec.v.Free) && maps.Equal(use, rec.v.Use) && len(shares) == 0 && (!rec.v.Doubt || !now.After(o.answered)) {
 			continue
 		}
+		for name := range shares { // the record and as many teams' as a transaction takes
+			if len(shares) < c.limits().TxnOps {
+				break
+			}
+			delete(shares, name)
+		}
 		o.kept = now
 		t := newTxn()
 		c.guardOwn(t, p)
--- a/internal/controller/estimate.go
+++ b/internal/controller/estimate.go
@@ -36,7 +36,7 @@
 		w = *r.DueS
 	}
 	for _, o := range c.cfg.Facts.Objectives {
-		if o.Kind == "finished" && o.Class == r.Lane && r.Shape == api.Sweep {
+		if o.Kind == "finished" && o.Class == r.Lane && r.Shape != api.Daemon {
 			w = min(w, o.WithinS)
 		}
 	}
--- a/internal/controller/hearing.go
+++ b/internal/controller/hearing.go
@@ -111,5 +111,5 @@
 
 // nodeRecord is what this node says of itself. Call with the lock held.
 func (c *Controller) nodeRecord() part.Own {
-	return part.Own{Node: c.cfg.HostName, Inc: c.inc, Mute: c.hearing.mute, Hear: c.hearing.some}
+	return part.Own{Node: c.cfg.HostName, Inc: c.inc, Mute: c.hearing.mute, Hear: c.hearing.some, V: forms}
 }
--- a/internal/controller/hunt.go
+++ b/internal/controller/hunt.go
@@ -95,7 +95,7 @@
 		only := c.newestOn(h)
 		for id, pl := range c.m.onHost[h.Name] {
 			j := c.m.jobs[pl.uid]
-			if j == nil || only != nil && only != pl || j.main.Gone || pl.p.Stop || x.taken[pl] || !c.mayStop(q, &j.main.Run, x.over[pl.uid]) || c.over(h.Name, id, pl) {
+			if j == nil || only != nil && only != pl || j.leaves(pl.p) || x.taken[pl] || !c.mayStop(q, &j.main.Run, x.over[pl.uid]) || c.over(h.Name, id, pl) {
 				continue
 			}
 			if p == nil {
@@ -244,6 +244,13 @@
 func lost(j *liveJob, p *job.Place, now time.Time) float64 {
 	run := float64(now.UnixMilli()-j.main.AtMS)/1000 - float64(p.AtS)
 	run = max(run, 0)
+	if isGang(j) { // all of its tasks stop with it, and start anew together
+		n := float64(j.main.Run.Pieces)
+		if j.main.Run.BookmarkS > 0 {
+			run = min(run, j.main.Run.StowS) + run/1000
+		}
+		return n * (run + j.main.Run.StowS + 1)
+	}
 	if b := j.main.Run.BookmarkS; b > 0 {
 		return min(run, j.main.Run.StowS) + run/1000
 	}
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -28,22 +28,19 @@
 			delete(c.adopt, host)
 			continue
 		}
-		id := c.pageOf(host)
+		id := c.pageFor(host)
 		page, open := pages[id]
 		if !open {
 			if len(pages) >= c.most() || size > 48<<10-int(c.cfg.Facts.State.ValueKB*1024) {
 				break
 			}
-			page = part.Page{}
-			if old := c.m.pages[id].v; old != nil {
-				maps.Copy(page, *old)
-			}
+			_, page = c.openPage(t, host)
 		}
 		m.Part = c.partFor(m.Site, count)
 		m.AtMS = c.now().UnixMilli()
 		page[host] = &m
 		bytes := len(api.JSON(page))
-		if bytes > c.valueRoom() {
+		if bytes > c.pageRoom() {
 			c.log.Error("machine can't be recorded", "host", host, "why", "its page is full", "bytes", bytes)
 			delete(page, host)
 			delete(c.adopt, host)
@@ -57,7 +54,6 @@
 		names = append(names, host)
 	}
 	for id, page := range pages {
-		t.guard(pageKey+id, c.m.pages[id].stamp)
 		t.write(pageKey+id, page)
 	}
 	c.mu.Unlock()
@@ -117,13 +113,13 @@
 		if _, in := c.m.parts[m.Part].v.Free[host]; in {
 			continue // upkeep comes first: no thief may still put a task there
 		}
-		id := c.pageOf(host)
+		id := c.pageFor(host)
 		page, open := pages[id]
 		if !open {
 			if len(pages) >= c.most() || size > 48<<10-int(c.cfg.Facts.State.ValueKB*1024) {
 				continue
 			}
-			page = maps.Clone(*c.m.pages[id].v)
+			_, page = c.openPage(t, host)
 			size += len(api.JSON(page))
 			pages[id] = page
 		}
@@ -133,15 +129,17 @@
 		names = append(names, host)
 	}
 	for id, page := range pages {
-		t.guard(pageKey+id, c.m.pages[id].stamp)
-		if len(page) == 0 {
+		c.closePage(t, id, page)
+	}
+	if len(names) == 0 && c.upgraded() {
+		if id, stamp := c.outdated(); id != "" { // finer ones have taken its place
+			t.guard(pageKey+id, stamp)
 			t.drop(pageKey + id)
-		} else {
-			t.write(pageKey+id, page)
+			c.forgotAt = now
 		}
 	}
 	c.mu.Unlock()
-	if len(names) == 0 {
+	if t.ops() == 0 {
 		return false
 	}
 	done, _, _ := c.commit(ctx, "forgotten", t, store.Decision)
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -89,7 +89,8 @@
 	mute := c.listen(ctx, now)
 	n := c.m.nodes[me]
 	self := c.nodeRecord()
-	register := n.v == nil || n.v.Inc != c.inc || n.v.Mute != self.Mute || n.v.Hear != self.Hear
+	marked := c.m.marks[me].v != nil && c.m.marks[me].v.V >= forms
+	register := n.v == nil || n.v.Inc != c.inc || n.v.Mute != self.Mute || n.v.Hear != self.Hear || !marked
 	for _, x := range c.parts {
 		if !c.listens(x) {
 			delete(c.homeUp, x)
@@ -117,7 +118,7 @@
 			case o != nil && o.leaving: // its release is in doubt: again, until it shows
 				give = append(give, p)
 			case o != nil && p != me:
-				if up, ok := c.homeUp[p]; ok && now.Sub(up) > ttl/2 {
+				if up, ok := c.homeUp[p]; ok && now.Sub(up) > ttl/2 && !c.backward(p) {
 					give = append(give, p)
 				}
 			}
@@ -135,6 +136,9 @@
 		t := newTxn()
 		t.write(nodeKey+me, self)
 		t.permit[nodeKey+me] = c.permit
+		if !marked {
+			t.write(markKey+me, part.Mark{V: forms})
+		}
 		if _, _, err := c.commit(ctx, "node", t, store.Hold); errors.Is(err, store.ErrNoPermit) {
 			return
 		}
@@ -424,9 +428,9 @@
 		delete(listed, a)
 		switch {
 		case !there:
-			start = start || !pl.p.Stop && !j.main.Gone
-		case (pl.p.Stop || j.main.Gone) && (phase == api.Pulling || phase == api.Running):
-			out, stop = append(out, haltOf(j, a)), true
+			start = start || j.starts(pl.p)
+		case j.leaves(pl.p) && phase != api.Saving && phase != api.Ended:
+			out, stop = append(out, c.haltOf(j, a)), true
 		}
 	}
 	for a, phase := range listed {
@@ -438,14 +442,24 @@
 }
 
 // haltOf is the order that stops a task, with time to save if it can and is worth it.
-func haltOf(j *liveJob, a attempt) api.Order {
+func (c *Controller) haltOf(j *liveJob, a attempt) api.Order {
 	leeway := 0.0
-	if !j.main.Gone && j.main.Run.BookmarkS > 0 {
+	if saves(j) {
 		leeway = j.main.Run.StowS * 2
+		if isGang(j) {
+			leeway += c.cfg.GangPeer().Seconds() // each waits for all others' saves
+		}
 	}
 	return api.Order{Verb: api.Halt, Piece: a.name, Try: a.try, LeewayS: &leeway}
 }
 
+// saves tells whether tasks of the job that have to leave save their progress first:
+// of a gang only if all are told to, for the save fails without one of them.
+func saves(j *liveJob) bool {
+	g := j.main.Gang
+	return !j.main.Gone && j.main.Run.BookmarkS > 0 && (!isGang(j) || g != nil && g.Halt)
+}
+
 // accept takes in a report and looks at what it says. Call with the lock held.
 func (c *Controller) accept(host string, s *part.Session, r *api.Checkin) bool {
 	old, deaf := s.Report, s.Deaf
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"violetturn/internal/api"
 	"violetturn/internal/httpwire"
 	"violetturn/internal/peer"
 	"violetturn/internal/transport"
@@ -88,6 +89,10 @@
 // can't reach the state service and the peer can.
 func (c *Controller) serve(ctx context.Context, r *peer.Request) transport.Response {
 	if addr := c.helper(); addr != "" {
+		// A peer of the version before would call a new shape malformed, for good.
+		if r.GetKind() == peer.Request_KIND_SUBMIT && !c.takes(api.ShapeOf(r.GetBody())) {
+			return errBusy
+		}
 		r.From = c.cfg.HostName
 		a, err := c.peers.Ask(ctx, addr, r, userPatience*3/4)
 		if err == nil && a.GetStatus() != 0 {
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -18,20 +18,27 @@
 func (c *Controller) placeRound(ctx context.Context) bool {
 	c.mu.Lock()
 	var todo []placement
+	var gangs []*gangClaim
+	var marks []*placed
 	if c.waiting() {
-		todo = c.plan(c.now()).places
+		p := c.plan(c.now())
+		todo, gangs, marks = p.places, p.gangs, p.stops
 	}
 	c.mu.Unlock()
+	for _, g := range gangs { // few, and what waits for them waits as a whole
+		c.claimGang(ctx, g)
+	}
 	for tries := 0; len(todo) > 0 && tries < 3; {
 		// Every placement in a part changes its record. Looking at the newest
 		// one first costs a request, being overtaken costs all changes.
-		room := c.store.Ready(ctx, min(jobsOf(todo)+len(c.parts), c.cfg.Facts.State.TxnOps), store.Decision)
+		room := c.store.Ready(ctx, min(jobsOf(todo)+len(c.parts), c.cfg.Lowest().TxnOps), store.Decision)
 		if room < 3 || !c.acting() || c.newest(ctx) != nil {
 			return false
 		}
 		c.mu.Lock()
-		t, rest, said := c.placeTxn(todo, room, c.now())
+		t, rest, said, apart := c.placeTxn(todo, room, c.now())
 		c.mu.Unlock()
+		marks = append(marks, apart...)
 		if t == nil {
 			break
 		}
@@ -48,9 +55,79 @@
 			return false
 		}
 	}
+	c.markRound(ctx, marks)
 	return false
 }
 
+// markRound marks tasks that have to leave for others that can't be placed in the same
+// transaction: a gang, whose room comes from several machines, or one whose victims are
+// recorded in more places than it takes. The room that is being left is kept for them
+// by the order of the plans.
+func (c *Controller) markRound(ctx context.Context, marks []*placed) {
+	for len(marks) > 0 {
+		if c.store.Ready(ctx, 2, store.Decision) < 1 || !c.acting() || c.newest(ctx) != nil {
+			return
+		}
+		c.mu.Lock()
+		e := c.edit()
+		var rest []*placed
+		var line []any
+		for i, v := range marks {
+			k := c.m.jobs[v.uid]
+			if !c.stoppable(k, v) {
+				continue
+			}
+			if more := e.stopCost(k, v); more > 0 && e.full(more, 0) {
+				rest = marks[i:]
+				break
+			}
+			e.stop(k, v)
+			line = append(line, "leaves", v.name(k))
+		}
+		n := e.n
+		t := e.txn()
+		c.mu.Unlock()
+		if n == 0 || e.tight {
+			return
+		}
+		if done, _, _ := c.commit(ctx, "marks", t, store.Decision); !done {
+			return // planned anew
+		}
+		c.log.Info("tasks have to leave", line...)
+		marks = rest
+	}
+}
+
+// stoppable tells whether a task is still where it was to be stopped. Call with the
+// lock held.
+func (c *Controller) stoppable(j *liveJob, v *placed) bool {
+	if j == nil || c.blocked(j) {
+		return false
+	}
+	p := j.chunks[v.chunk].v.PlaceOf(v.index)
+	return p != nil && p.Try == v.p.Try && !j.leaves(p)
+}
+
+// stop marks a task to leave its machine; of a gang all tasks leave, and save together.
+func (e *edit) stop(j *liveJob, v *placed) {
+	if isGang(j) {
+		e.main(j).Gang.Halt = true
+		return
+	}
+	e.chunk(j, v.chunk).Places[v.index].Stop = true
+}
+
+// stopCost is how many changes that adds.
+func (e *edit) stopCost(j *liveJob, v *placed) int {
+	switch {
+	case !isGang(j):
+		return e.cost(j, v.chunk)
+	case e.mains[j.main.Run.UID] != nil:
+		return 0
+	}
+	return 1
+}
+
 // waiting tells whether a job of an own part has tasks to place. Call with the
 // lock held.
 func (c *Controller) waiting() bool {
@@ -115,7 +192,7 @@
 func (x *claims) take(pl placement, now time.Time) (j *liveJob, cost int, ok func()) {
 	c := x.c
 	j = c.m.jobs[pl.uid]
-	if j == nil || j.main.Gone || j.main.Finished(pl.chunk) || c.owned(j.main.Part) == nil {
+	if j == nil || j.main.Gone || j.main.Finished(pl.chunk) || c.owned(j.main.Part) == nil || c.blocked(j) {
 		return nil, 0, nil
 	}
 	old := j.chunks[pl.chunk].v
@@ -204,7 +281,10 @@
 // takes the room of others goes together with their marks: the owner's next
 // answer stops the ones and starts the other, instead of a round of commits and
 // reports for each. Call with the lock held.
-func (c *Controller) placeTxn(todo []placement, room int, now time.Time) (t *txn, rest []placement, said [][]any) {
+//
+// What has to leave for a placement that alone is more than a transaction takes is
+// given in apart.
+func (c *Controller) placeTxn(todo []placement, room int, now time.Time) (t *txn, rest []placement, said [][]any, apart []*placed) {
 	e := c.edit()
 	e.most = min(e.most, room)
 	cl := &claims{c: c, by: map[string]*claim{}}
@@ -221,17 +301,18 @@
 		there := true
 		for _, v := range x.victims {
 			k := c.m.jobs[v.uid]
-			if k == nil {
-				there = false
+			if there = there && c.stoppable(k, v); !there {
 				break
 			}
-			p := k.chunks[v.chunk].v.PlaceOf(v.index)
-			there = there && p != nil && p.Try == v.p.Try && !p.Stop
-			more += e.cost(k, v.chunk)
+			more += e.stopCost(k, v)
 		}
 		if !there {
 			continue // the room may be free by now: planned anew
 		}
+		if e.n == 0 && len(x.victims) > 0 && more > c.limits().TxnOps {
+			apart = append(apart, x.victims...)
+			continue
+		}
 		if more > 0 && e.full(more, cl.more) {
 			rest = append(rest, todo[i:]...)
 			break
@@ -240,18 +321,21 @@
 		line := c.put(e, j, x, now)
 		for _, v := range x.victims {
 			k := c.m.jobs[v.uid]
-			e.chunk(k, v.chunk).Places[v.index].Stop = true
+			e.stop(k, v)
 			line = append(line, "leaves", v.name(k))
 		}
 		said = append(said, line)
 		zs[x.uid].add(x.chunk, x.host.Site)
 	}
 	if len(said) == 0 {
-		return nil, nil, nil
+		return nil, nil, nil, apart
 	}
 	t = e.txn()
+	if e.tight {
+		return nil, nil, nil, nil
+	}
 	cl.write(t)
-	return t, rest, said
+	return t, rest, said, apart
 }
 
 // share tells whether a team may use so much in a part, by the share of its
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -27,6 +27,8 @@
 // plan is what this node would do now, seen from one state of the mirror.
 type plan struct {
 	places []placement
+	gangs  []*gangClaim // room for whole gangs
+	stops  []*placed    // tasks that have to leave for gangs
 	unmet  []sched.Unmet
 	all    []sched.Unmet // what found no room at once, peers' jobs included
 	left   []*sched.Host // all machines with the room that is left after all that
@@ -134,7 +136,11 @@
 		}
 		cp, _ := c.capOf(m.Build)
 		l := c.loadOf(h)
-		room = append(room, sched.Host{Name: h, Part: m.Part, Build: m.Build, Site: m.Site, Loaners: m.Loaners, Cap: cp, Free: r, Warm: c.m.images[h], Daemons: l.daemons, Sweeps: l.sweeps})
+		wait := 0.0
+		if v.own {
+			wait = c.waitOn(h, now)
+		}
+		room = append(room, sched.Host{WaitS: wait, Name: h, Part: m.Part, Build: m.Build, Site: m.Site, Loaners: m.Loaners, Cap: cp, Free: r, Warm: c.m.images[h], Daemons: l.daemons, Sweeps: l.sweeps})
 		out = append(out, &room[len(room)-1])
 	}
 	return out
@@ -195,7 +201,7 @@
 		}
 	}
 	slices.SortFunc(q, func(a, b queued) int {
-		return cmp.Or(-cmp.Compare(a.weight, b.weight), -compareBool(a.starving, b.starving), bySlack(a.work, b.work), byAge(a.j, b.j))
+		return cmp.Or(-cmp.Compare(a.weight, b.weight), -compareBool(a.starving, b.starving), -compareBool(c.released(a.uid), c.released(b.uid)), bySlack(a.work, b.work), byAge(a.j, b.j))
 	})
 	return q
 }
@@ -212,6 +218,9 @@
 	if age < min(c.within(&j.main.Run), (mustBegin/2).Seconds()) || len(j.main.Fin) > 0 {
 		return false
 	}
+	if isGang(j) { // what it holds or did before is no beginning
+		return j.main.Gang == nil || !j.main.Gang.Go || j.main.Gang.Over
+	}
 	for _, ch := range j.chunks {
 		if ch.v.Tries > 0 {
 			return false
@@ -256,12 +265,20 @@
 // Plans ask for those of all jobs, so they are kept until the job changes. Who
 // changes the list copies it. Call with the lock held.
 func (j *liveJob) pending() []task {
-	const most = 1024
+	most := 1024
 	if j.open != nil {
 		return j.open
 	}
 	j.open = []task{}
 	m := j.main
+	if m.Frozen {
+		return j.open
+	}
+	if isGang(j) {
+		if most = m.Run.Pieces; !m.Gang.Holds() && (m.Gang.Done || j.placed() > 0) {
+			return j.open // all of the attempt has to be over first
+		}
+	}
 	for n := range m.Chunks() {
 		if m.Finished(n) {
 			continue
@@ -301,6 +318,9 @@
 
 func (c *Controller) zonesOf(j *liveJob) *zones {
 	z := &zones{j: j, zone: j.main.Zone, count: map[int]map[string]int{}}
+	if isGang(j) && j.placed() == 0 {
+		z.zone = "" // nothing binds its next attempt
+	}
 	if j.main.Run.Scatter {
 		for n, ch := range j.chunks {
 			for _, p := range ch.v.Places {
@@ -395,7 +415,7 @@
 	var cold []coldStart
 	for _, q := range queue {
 		r := &q.j.main.Run
-		if q.mine && c.backingOff(q, now) {
+		if q.mine && c.backingOff(q, now) || c.blocked(q.j) {
 			continue
 		}
 		if len(q.j.pending()) == 0 {
@@ -410,6 +430,9 @@
 	// place puts what it can of a job's tasks on machines, with its image only or
 	// any, and leaves the rest.
 	place := func(l *lacking, warm bool) {
+		if isGang(l.q.j) {
+			return
+		}
 		r := &l.q.j.main.Run
 		team, _ := c.cfg.Team(r.Owner)
 		misses := map[int]bool{}
@@ -461,11 +484,44 @@
 	// Among jobs of one weight a machine with room goes first to one whose image
 	// it has: fetches take a good part of the machines' time. One that starves
 	// takes what there is.
+	searches := map[*lacking]*gangSearch{}
+	var boots []*sched.Host // machines on their way
+	gang := func(l *lacking) {
+		r := &l.q.j.main.Run
+		if team, _ := c.cfg.Team(r.Owner); team.Limited() {
+			u := use[team.Name].Add(l.ask.Need.Times(float64(len(l.tasks))))
+			if team.CPUsMax > 0 && u.CPUs > team.CPUsMax+1e-6 || team.GPUsMax > 0 && u.GPUs > team.GPUsMax+1e-6 {
+				l.tasks = nil // what is beyond the limit lacks no room
+				return
+			}
+			use[team.Name] = u
+		}
+		if boots == nil {
+			boots = c.coming(now, true)
+		}
+		x := c.seat(l, hosts, boots)
+		if sched.Missing(x.seats) == 0 {
+			if l.q.mine {
+				out.gangs = append(out.gangs, x.claim())
+			}
+			l.tasks = nil
+			return
+		}
+		if l.q.mine {
+			c.missGang(x, now)
+		}
+		searches[l] = x
+	}
 	for i := 0; i < len(jobs); {
 		n := i + 1
 		for n < len(jobs) && jobs[n].q.weight == jobs[i].q.weight {
 			n++
 		}
+		for _, l := range jobs[i:n] { // gangs first: what one task takes here may keep a whole one waiting
+			if isGang(l.q.j) {
+				gang(l)
+			}
+		}
 		for _, l := range jobs[i:n] {
 			place(l, !l.q.starving)
 		}
@@ -476,7 +532,9 @@
 				place(l, false)
 			}
 			if len(l.tasks) > 0 {
-				l.tasks = l.tasks[:min(len(l.tasks), 256)] // more than could be rented for at once
+				if !isGang(l.q.j) {
+					l.tasks = l.tasks[:min(len(l.tasks), 256)] // more than could be rented for at once
+				}
 				lack = append(lack, l)
 			}
 		}
@@ -517,12 +575,23 @@
 	}
 	for _, l := range lack {
 		u := sched.Unmet{Ask: l.ask}
+		tasks := l.tasks
+		whole := searches[l]
+		if whole != nil { // room is sought for what has none, and only if that completes the gang
+			tasks = nil
+			for i, h := range whole.seats {
+				if h == nil || !whole.kept {
+					tasks = append(tasks, l.tasks[i])
+				}
+			}
+		}
 		if !l.q.mine {
-			out.all = append(out.all, sched.Unmet{Ask: l.ask, Count: len(l.tasks)})
+			out.all = append(out.all, sched.Unmet{Ask: l.ask, Count: min(len(tasks), 256)})
 			continue
 		}
 		var left []task
-		for _, t := range l.tasks {
+		var stops []*placed
+		for _, t := range tasks {
 			a := l.ask
 			a.ZoneOK = func(site string) bool { return l.z.ok(t.chunk, site) }
 			if h := sched.FullestFit(open, &a); h != nil {
@@ -537,7 +606,11 @@
 				l.prey = hunt.gather(l.q, &l.ask, 2*l.q.j.main.Run.Pieces+16)
 			}
 			if v, h := hunt.victims(l.prey, &a, math.Inf(1)); v != nil {
-				swaps = append(swaps, placement{l.q.uid, t.chunk, t.index, h, v})
+				if whole != nil {
+					stops = append(stops, v...)
+				} else {
+					swaps = append(swaps, placement{l.q.uid, t.chunk, t.index, h, v})
+				}
 				for _, x := range v {
 					h.Free = h.Free.Add(need(&c.m.jobs[x.uid].main.Run))
 				}
@@ -548,8 +621,13 @@
 			left = append(left, t)
 		}
 		if len(left) == 0 {
+			out.stops = append(out.stops, stops...)
 			continue
 		}
+		if whole != nil {
+			left = tasks // nobody is stopped for a gang that would still not be complete
+		}
+		left = left[:min(len(left), 256)]
 		u.Count = len(left)
 		out.all = append(out.all, sched.Unmet{Ask: l.ask, Count: u.Count})
 		n := 0
@@ -571,6 +649,9 @@
 	for _, ch := range q.j.chunks {
 		e += ch.v.Errors
 	}
+	if g := q.j.main.Gang; g != nil {
+		e += max(g.Errors, g.Fails-1) // one attempt may fail by chance, and the next goes at once
+	}
 	if e == 0 {
 		delete(c.errSeen, q.uid)
 		delete(c.retryAt, q.uid)
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -7,6 +7,7 @@
 
 	"violetturn/internal/api"
 	"violetturn/internal/httpwire"
+	"violetturn/internal/job"
 	"violetturn/internal/part"
 	"violetturn/internal/sched"
 	"violetturn/internal/transport"
@@ -120,7 +121,7 @@
 		// job stays withdrawn: its tasks have to go in time.
 		for _, pl := range c.m.onHost[host] {
 			if j := c.m.jobs[pl.uid]; j != nil && j.main.Gone {
-				out = append(out, haltOf(j, attempt{pl.name(j), pl.p.Try}))
+				out = append(out, c.haltOf(j, attempt{pl.name(j), pl.p.Try}))
 			}
 		}
 		return out
@@ -158,14 +159,20 @@
 		if l != nil && l.Phase == api.Running && s.Started[id].Try != pl.p.Try {
 			s.Started[id] = part.Start{Try: pl.p.Try, At: now}
 			c.log.Info("task running", "task", name, "try", pl.p.Try, "host", host)
+			if isGang(j) {
+				c.gang(pl.uid).ran = pl.p.Try
+			}
+		}
+		stop := j.leaves(pl.p)
+		if !isGang(j) { // a gang is stopped as a whole, or else goes on
+			stop = stop || s.Drain || c.recalled(s, j)
 		}
-		stop := j.main.Gone || pl.p.Stop || s.Drain || c.recalled(s, &j.main.Run)
 		switch {
 		case l != nil && l.Phase == api.Ended:
 			if !released {
 				done := l.Cause == api.CauseDone
 				failed := l.Cause == api.CauseError || l.Cause == api.CauseUnknown
-				release(id, part.Release{Try: pl.p.Try, Done: done && j.main.Run.Shape == api.Sweep, Failed: failed})
+				release(id, part.Release{Try: pl.p.Try, Done: done && j.main.Run.Shape != api.Daemon, Failed: failed, Exit: exitOf(l.Cause)})
 				if st := s.Started[id]; done && st.Try == pl.p.Try && j.main.Run.GuessS > 0 {
 					c.observe(j.main.Run.Lane, now.Sub(st.At).Seconds()/j.main.Run.GuessS)
 				}
@@ -173,12 +180,14 @@
 			}
 		case l != nil && (stop || released):
 			leaving = true
-			if l.Phase == api.Saving || !j.main.Gone && j.main.Run.BookmarkS > 0 {
+			if l.Phase == api.Saving || saves(j) {
 				left = left.Sub(need(&j.main.Run))
 			}
 			if l.Phase != api.Saving || j.main.Gone {
-				out = append(out, haltOf(j, a))
+				out = append(out, c.haltOf(j, a))
 			}
+		case l == nil && !stop && !j.starts(pl.p):
+			// Held for a gang that is not complete: nothing is started yet.
 		case l == nil && stop && !released:
 			// Never launched, or gone with an earlier session: this report was
 			// made after any answer of ours that launched it, and no later one will.
@@ -192,7 +201,7 @@
 				s.Raise(now)
 				c.log.Info("worker does not obey", "host", host, "task", name, "launches", s.Sent[id].N)
 			}
-			release(id, part.Release{Try: pl.p.Try})
+			release(id, part.Release{Try: pl.p.Try, Exit: job.ExitRefused})
 		case l == nil && !released && !s.Dead(now, c.cfg.LeaseBound()):
 			launch = append(launch, start{id, a, need(&j.main.Run)})
 		case l != nil:
@@ -223,7 +232,7 @@
 				sent.Blocked = 0
 			}
 			if s.Sent[x.id] = sent; sent.Blocked >= mostUnheard {
-				release(x.id, part.Release{Try: x.a.try})
+				release(x.id, part.Release{Try: x.a.try, Exit: job.ExitRefused})
 			}
 			continue
 		}
@@ -245,17 +254,24 @@
 // recalled tells whether the cloud takes the machine away so soon that the task
 // has to leave now; until then it runs on, for it may complete. Call with the
 // lock held.
-func (c *Controller) recalled(s *part.Session, r *api.Run) bool {
+func (c *Controller) recalled(s *part.Session, j *liveJob) bool {
 	if s.Report == nil || s.Report.RecallS == nil {
 		return false
 	}
-	return *s.Report.RecallS <= 2*r.StowS+2*c.cfg.Report().Seconds()
+	need := 2*j.main.Run.StowS + 2*c.cfg.Report().Seconds()
+	if isGang(j) {
+		need += c.cfg.GangPeer().Seconds() // to tell all of them
+	}
+	return *s.Report.RecallS <= need
 }
 
 // ended notes what a task's end says of the machine and of its job. Call with
 // the lock held.
 func (c *Controller) ended(host string, s *part.Session, j *liveJob, pl *placed, l *api.PieceState) {
 	uid := j.main.Run.UID
+	if !api.KnownCause(l.Cause) {
+		c.log.Error("a worker gives a cause that is not known", "host", host, "cause", l.Cause)
+	}
 	c.log.Info("task ended", "task", l.Piece, "try", l.Try, "host", host, "cause", l.Cause, "saved", l.Saved)
 	switch l.Cause {
 	case api.CauseDone:
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -21,12 +21,13 @@
 const (
 	live    = "live/"
 	jobKey  = live + "j/" // + uid: main record
-	taskKey = live + "t/" // + uid/chunk, of jobs whose tasks don't fit the main record
+	taskKey = live + "t/" // + uid/chunk, of jobs whose tasks don't fit the main record; uid/gN.chunk once they were divided N times
 	partKey = live + "p/" // + part: free-room record
 	ownKey  = live + "o/" // + part: owner, under its hold
 	nodeKey = live + "n/" // + node: alive, under its hold
 	pageKey = live + "m/" // + what names of machines have in common: those machines
 	teamKey = live + "q/" // + team: shares of its limit
+	markKey = live + "v/" // + node: the forms of records that it reads; stays when the node ends
 	termKey = live + "term"
 	pastKey = "past/" // + uid
 )
@@ -35,14 +36,19 @@
 type value[T any] struct {
 	v     *T
 	stamp uint64
+	size  int // bytes of its record
 }
 
+// chunkRec names a chunk's record among those of its job.
+type chunkRec struct{ gen, n int }
+
 // liveJob is a job with its chunks.
 type liveJob struct {
 	main   *job.Main
 	stamp  uint64
-	chunks map[int]value[job.Chunk]
-	open   []task // what is neither done nor placed; nil: to be worked out
+	size   int                      // bytes of its main record
+	chunks map[int]value[job.Chunk] // those of its present division
+	open   []task                   // what is neither done nor placed; nil: to be worked out
 }
 
 // mirror is this controller's copy of what lives in the state service. It is a
@@ -55,10 +61,11 @@
 	stamps  map[string]uint64 // of present keys
 	tombs   map[string]uint64 // of keys dropped at revisions that the watch has yet to reach
 	jobs    map[string]*liveJob
-	orphan  map[string]map[int]value[job.Chunk] // chunks whose main record is not here
+	recs    map[string]map[chunkRec]value[job.Chunk] // chunks' records as they are, those of other divisions and of no job included
 	parts   map[string]value[part.Record]
 	owns    map[string]value[part.Own]
 	nodes   map[string]value[part.Own]
+	marks   map[string]value[part.Mark]
 	pages   map[string]value[part.Page]
 	hosts   map[string]*part.Machine // of all pages
 	teams   map[string]value[part.Usage]
@@ -83,7 +90,7 @@
 
 func newMirror(log *slog.Logger, onJob func(*job.Main), onTask func(string)) *mirror {
 	return &mirror{log: log, onJob: onJob, onTask: onTask, stamps: map[string]uint64{}, tombs: map[string]uint64{}, jobs: map[string]*liveJob{},
-		orphan: map[string]map[int]value[job.Chunk]{}, parts: map[string]value[part.Record]{}, owns: map[string]value[part.Own]{},
+		recs: map[string]map[chunkRec]value[job.Chunk]{}, marks: map[string]value[part.Mark]{}, parts: map[string]value[part.Record]{}, owns: map[string]value[part.Own]{},
 		nodes: map[string]value[part.Own]{}, pages: map[string]value[part.Page]{}, hosts: map[string]*part.Machine{}, teams: map[string]value[part.Usage]{},
 		onHost: map[string]map[string]*placed{}, loads: map[string]*load{}, images: map[string]map[string]bool{}, gone: map[string]bool{}}
 }
@@ -135,6 +142,8 @@
 		err = m.applyPage(id, raw, stamp)
 	case teamKey:
 		err = set(m.teams, id, raw, stamp)
+	case markKey:
+		err = set(m.marks, id, raw, stamp)
 	}
 	if err != nil {
 		m.log.Error("record can't be read", "key", key, "err", err)
@@ -150,21 +159,35 @@
 	if err := json.Unmarshal(raw, v); err != nil {
 		return err
 	}
-	to[id] = value[T]{v, stamp}
+	to[id] = value[T]{v, stamp, len(raw)}
 	return nil
 }
 
-// applyPage takes in a group of machines.
+// applyPage takes in a group of machines. A finer page stands for its machines
+// before a coarser one that still names them.
 func (m *mirror) applyPage(id string, raw json.RawMessage, stamp uint64) error {
 	old := m.pages[id]
 	if err := set(m.pages, id, raw, stamp); err != nil {
 		return err
 	}
 	m.names = nil
-	page := m.pages[id].v
-	if old.v != nil {
-		for host := range *old.v {
-			if page != nil && (*page)[host] != nil {
+	touched := map[string]bool{}
+	note := func(p *part.Page) {
+		if p != nil {
+			for host := range *p {
+				touched[host] = true
+			}
+		}
+	}
+	note(old.v)
+	note(m.pages[id].v)
+	if len(id) > 2 { // what it shadows of a coarser one, or does no more
+		note(m.pages[id[:len(id)-2]+"-"].v)
+	}
+	for host := range touched {
+		x, was := m.record(host), m.hosts[host]
+		if x == nil {
+			if was == nil {
 				continue
 			}
 			delete(m.hosts, host)
@@ -174,13 +197,9 @@
 				clear(m.gone)
 			}
 			m.gone[host] = true
+			continue
 		}
-	}
-	if page == nil {
-		return nil
-	}
-	for host, x := range *page {
-		if was := m.hosts[host]; was != nil && x.Addr == "" {
+		if was != nil && x.Addr == "" {
 			x.Addr = was.Addr // learned from a report or a list
 		}
 		m.hosts[host] = x
@@ -188,30 +207,33 @@
 	return nil
 }
 
-// pageOf names the page of a machine: names that differ only in their last
-// characters share one, as many as surely fit a value.
-func (c *Controller) pageOf(host string) string {
-	const bytes = 160 // of one machine at most
-	cut := 1
-	if c.cfg.Facts.State.ValueKB*1024 >= 100*bytes {
-		cut = 2
+// pageID names the page of a machine that leaves out so many characters of its name.
+func pageID(host string, cut int) string { return host[:max(len(host)-cut, 0)] + "-" }
+
+// coarse is how many characters of a machine's name the coarsest pages leave out.
+const coarse = 2
+
+// record gives a machine's record: of the finest page that there is for it, be the
+// machine in it or not.
+func (m *mirror) record(host string) *part.Machine {
+	for cut := 1; cut <= coarse; cut++ {
+		if p := m.pages[pageID(host, cut)].v; p != nil {
+			return (*p)[host]
+		}
 	}
-	return host[:max(len(host)-cut, 0)] + "-"
+	return nil
 }
 
 func (m *mirror) applyJob(uid string, raw json.RawMessage, stamp uint64) error {
+	j := m.jobs[uid]
 	if raw == nil {
-		if j := m.jobs[uid]; j != nil {
+		if j != nil {
 			if !m.loading && m.onEnd != nil {
 				m.onEnd(uid, j.pastOf())
 			}
-			if j.main.Inner {
-				m.setChunk(uid, j.chunks, 0, nil, stamp)
+			for n := range j.chunks {
+				m.setChunk(uid, j.chunks, n, value[job.Chunk]{stamp: stamp})
 			}
-			if len(j.chunks) > 0 {
-				m.orphan[uid] = j.chunks // their drops follow
-			}
-			m.unload(j.chunks)
 			delete(m.jobs, uid)
 		}
 		return nil
@@ -220,18 +242,15 @@
 	if err != nil {
 		return err
 	}
-	j := m.jobs[uid]
+	var was *job.Main
 	if j == nil {
 		j = &liveJob{chunks: map[int]value[job.Chunk]{}}
-		if o := m.orphan[uid]; o != nil {
-			j.chunks = o
-			m.unload(o)
-			delete(m.orphan, uid)
-		}
 		m.jobs[uid] = j
 		m.onJob(v)
+	} else {
+		was = j.main
 	}
-	if v.Gone && j.main != nil && !j.main.Gone { // its tasks are useless from now on
+	if was != nil && (v.Gone && !was.Gone || turned(was.Gang, v.Gang)) { // its tasks are useless from now on, or may start
 		m.unload(j.chunks)
 		for _, ch := range j.chunks {
 			for _, p := range ch.v.Places {
@@ -239,41 +258,81 @@
 			}
 		}
 	}
-	j.main, j.stamp, j.open = v, stamp, nil
+	j.main, j.stamp, j.size, j.open = v, stamp, len(raw), nil
 	if v.Inner {
-		m.setChunk(uid, j.chunks, 0, v.Only, stamp)
+		m.setChunk(uid, j.chunks, 0, value[job.Chunk]{v.Only, stamp, len(raw)})
+	}
+	if !v.Inner && (was == nil || was.Inner || was.Gen != v.Gen) {
+		for n := range j.chunks {
+			m.setChunk(uid, j.chunks, n, value[job.Chunk]{stamp: stamp})
+		}
+		for k, c := range m.recs[uid] {
+			if k.gen == v.Gen {
+				m.setChunk(uid, j.chunks, k.n, c)
+			}
+		}
 	}
 	return nil
 }
 
-func (m *mirror) applyChunk(id string, raw json.RawMessage, stamp uint64) error {
+// turned tells whether what a gang's tasks are to do has changed.
+func turned(a, b *job.Gang) bool {
+	if a == nil || b == nil {
+		return a != b
+	}
+	return a.Try != b.Try || a.Go != b.Go || a.Halt != b.Halt || a.Over != b.Over || a.Done != b.Done
+}
+
+// chunkKey names the record of chunk n of a job that was divided gen times.
+func chunkKey(uid string, gen, n int) string {
+	if gen == 0 {
+		return taskKey + uid + "/" + strconv.Itoa(n)
+	}
+	return taskKey + uid + "/g" + strconv.Itoa(gen) + "." + strconv.Itoa(n)
+}
+
+func parseChunkKey(id string) (uid string, rec chunkRec, err error) {
 	uid, ns, _ := strings.Cut(id, "/")
-	n, err := strconv.Atoi(ns)
+	if g, n, ok := strings.Cut(ns, "."); ok {
+		if rec.gen, err = strconv.Atoi(strings.TrimPrefix(g, "g")); err != nil {
+			return uid, rec, err
+		}
+		ns = n
+	}
+	rec.n, err = strconv.Atoi(ns)
+	return uid, rec, err
+}
+
+func (m *mirror) applyChunk(id string, raw json.RawMessage, stamp uint64) error {
+	uid, rec, err := parseChunkKey(id)
 	if err != nil {
 		return err
 	}
-	var c *job.Chunk
+	c := value[job.Chunk]{stamp: stamp, size: len(raw)}
 	if raw != nil {
-		if c, err = job.ParseChunk(raw); err != nil {
+		if c.v, err = job.ParseChunk(raw); err != nil {
 			return err
 		}
 	}
-	var chunks map[int]value[job.Chunk]
-	if j := m.jobs[uid]; j != nil {
-		chunks = j.chunks
-	} else if chunks = m.orphan[uid]; chunks == nil {
-		chunks = map[int]value[job.Chunk]{}
-		m.orphan[uid] = chunks
+	recs := m.recs[uid]
+	if recs == nil {
+		recs = map[chunkRec]value[job.Chunk]{}
+		m.recs[uid] = recs
+	}
+	if recs[rec] = c; c.v == nil {
+		if delete(recs, rec); len(recs) == 0 {
+			delete(m.recs, uid)
+		}
 	}
-	m.setChunk(uid, chunks, n, c, stamp)
-	if len(m.orphan[uid]) == 0 {
-		delete(m.orphan, uid)
+	if j := m.jobs[uid]; j != nil && !j.main.Inner && j.main.Gen == rec.gen {
+		m.setChunk(uid, j.chunks, rec.n, c)
 	}
 	return nil
 }
 
 // setChunk replaces a chunk and with it what is placed on machines.
-func (m *mirror) setChunk(uid string, chunks map[int]value[job.Chunk], n int, c *job.Chunk, stamp uint64) {
+func (m *mirror) setChunk(uid string, chunks map[int]value[job.Chunk], n int, to value[job.Chunk]) {
+	c := to.v
 	if j := m.jobs[uid]; j != nil {
 		j.open = nil
 	}
@@ -287,7 +346,7 @@
 		delete(chunks, n)
 		return
 	}
-	chunks[n] = value[job.Chunk]{c, stamp}
+	chunks[n] = to
 	for i, p := range c.Places {
 		on := m.onHost[p.Host]
 		if on == nil {
@@ -391,7 +450,7 @@
 // order. A job is dropped when it is withdrawn and empty, or else done. So users
 // who ask how it ended need no further read.
 func (j *liveJob) pastOf() job.Past {
-	if !j.main.Gone {
+	if !j.main.Gone || j.main.Gang != nil && j.main.Gang.Done {
 		return job.Past{Phase: api.Done, Done: j.main.Run.Pieces}
 	}
 	return job.Past{Phase: api.Withdrawn, Done: j.stateOf().Done}
@@ -402,12 +461,16 @@
 	if j.main.Inner {
 		return jobKey + j.main.Run.UID, j.stamp
 	}
-	return taskKey + j.main.Run.UID + "/" + strconv.Itoa(n), j.chunks[n].stamp
+	return chunkKey(j.main.Run.UID, j.main.Gen, n), j.chunks[n].stamp
 }
 
 // stateOf tells users of a living job.
 func (j *liveJob) stateOf() api.State {
 	s := api.State{UID: j.main.Run.UID, Phase: api.Pending, Done: j.main.FinishedTasks()}
+	g := j.main.Gang
+	if g != nil && g.Done { // committed, though not all of its records are gone yet
+		return api.State{UID: s.UID, Phase: api.Done, Done: j.main.Run.Pieces}
+	}
 	for n, c := range j.chunks {
 		if !j.main.Finished(n) {
 			s.Done += c.v.DoneCount()
@@ -417,6 +480,8 @@
 	switch {
 	case j.main.Gone:
 		s.Phase = api.Withdrawn
+	case j.main.Run.Shape == api.Ensemble && (g == nil || !g.Go):
+		s.Running = 0 // places that are held run nothing yet
 	case s.Running > 0:
 		s.Phase = api.Running
 	}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -177,7 +177,7 @@
 			return reply(422, map[string]string{"error": why})
 		}
 	}
-	if !c.reached() {
+	if !c.reached() || !c.takes(r.Shape) {
 		return errBusy
 	}
 	m := &job.Main{Run: *r, Part: c.cfg.HostName, AtMS: c.now().UnixMilli()}
@@ -185,7 +185,7 @@
 	if size > c.valueRoom() { // room for what is added later
 		return reply(400, map[string]string{"error": "submission too long"})
 	}
-	m.Fit(c.cfg.Facts.State.ValueKB, size)
+	m.Fit(c.cfg.Lowest().ValueKB, size)
 	a := &accept{ctx: ctx, main: m, out: make(chan transport.Response, 1)}
 	if !c.enqueue(a) {
 		return errBusy
@@ -198,6 +198,14 @@
 	}
 }
 
+// takes tells whether a job of that shape can be kept safely: a controller of the
+// version before would place an ensemble task by task.
+func (c *Controller) takes(shape string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return shape != api.Ensemble || c.upgraded()
+}
+
 // never tells why a job can never run, "" if it can.
 func (c *Controller) never(r *api.Run) string {
 	team, ok := c.cfg.Team(r.Owner)
@@ -205,7 +213,7 @@
 		return "unknown team"
 	}
 	k := 1.0
-	if r.Shape == api.Daemon {
+	if r.Shape != api.Sweep {
 		k = float64(r.Pieces)
 	}
 	if team.CPUsMax > 0 && r.CPUs*k > team.CPUsMax+1e-6 || team.GPUsMax > 0 && r.GPUs*k > team.GPUsMax+1e-6 {
@@ -259,7 +267,7 @@
 // they came together: half of what a transaction takes, so that one batch does
 // not use up the writes that decisions need.
 func (c *Controller) commitLine() {
-	most := max(1, min(c.cfg.Facts.State.TxnOps, c.secondsWrites())/2)
+	most := max(1, min(c.cfg.Lowest().TxnOps, c.secondsWrites())/2)
 	var batch, rest []*accept
 	c.line.Lock()
 	for _, a := range c.line.queue {
@@ -376,6 +384,12 @@
 		m := j.main.Copy()
 		m.Gone = true
 		t.write(jobKey+uid, m)
+		if len(t.writes[jobKey+uid]) > c.mostBytes() {
+			c.narrow[uid] = m.Gen + 1 // its tasks are divided first
+			c.mu.Unlock()
+			c.poke()
+			return errBusy
+		}
 		c.mu.Unlock()
 		done, _, err := c.commit(ctx, "cancelled", t, store.Decision)
 		if err != nil {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -23,12 +23,21 @@
 	Zone  string  `json:"z,omitempty"` // the zone of a job whose tasks go together, once chosen
 	Inner bool    `json:"i,omitempty"` // its one chunk is kept here, not in a record of its own
 	Only  *Chunk  `json:"o,omitempty"` // that chunk, once touched
+
+	// The version in production knows none of these and would lose them: they are
+	// written only once every configured controller has shown that it reads them.
+	Gen    int   `json:"n,omitempty"` // how often its tasks were divided into smaller chunks
+	Frozen bool  `json:"x,omitempty"` // its tasks are being divided: nothing else changes them
+	Gang   *Gang `json:"e,omitempty"` // of an ensemble: how its attempt stands
 }
 
 // Fit decides how the job's tasks are recorded. A job whose tasks all fit into
 // its main record needs no other one: half as many changes for it.
 func (m *Main) Fit(valueKB float64, size int) {
 	m.Chunk = ChunkSize(valueKB)
+	if m.Run.Shape == api.Ensemble {
+		size += gangExtra
+	}
 	if m.Run.Pieces <= m.Chunk && size+m.Run.Pieces*entry+mainExtra <= int(valueKB*1024) {
 		m.Inner = true
 	}
@@ -39,6 +48,7 @@
 const (
 	entry     = 80
 	mainExtra = 256
+	gangExtra = 128
 )
 
 // Past is what stays of a job that is over.
@@ -122,9 +132,59 @@
 func (m *Main) Copy() *Main {
 	c := *m
 	c.Fin = slices.Clone(m.Fin)
+	if m.Gang != nil {
+		g := *m.Gang
+		c.Gang = &g
+	}
 	return &c
 }
 
+// Finer gives the size of chunks into which those of the job can be divided so that
+// their records fit a value: an even part of the present size, so that what is done
+// and what is scattered by halves stays so.
+func (m *Main) Finer(valueKB float64) int {
+	most := ChunkSize(valueKB)
+	for k := min(most, m.Chunk); k > 2; k-- {
+		if m.Chunk%k == 0 && k%2 == 0 {
+			return k
+		}
+	}
+	return 2
+}
+
+// Divide turns the record into that of the job with chunks of size k, an even part
+// of the present size, each with a record of its own.
+func (m *Main) Divide(k int) {
+	each := m.Chunk / k
+	for i := range m.Fin {
+		m.Fin[i] *= each
+	}
+	m.Chunk, m.Inner, m.Only, m.Frozen = k, false, nil, false
+	m.Gen++
+	if n := len(m.Fin); n > 0 { // the last chunk may have been a short one
+		m.Fin[n-1] = min(m.Fin[n-1], m.Chunks())
+	}
+}
+
+// Part gives the tasks from on, n of them, as a chunk of their own, nil if nothing is
+// known of them.
+func (c *Chunk) Part(from, n int) *Chunk {
+	if c == nil {
+		return nil
+	}
+	d := &Chunk{Tries: c.Tries, Errors: c.Errors, Places: map[int]*Place{}}
+	for i := range n {
+		if c.Done(from + i) {
+			d.setDone(i)
+		}
+		if p := c.Places[from+i]; p != nil {
+			q := *p
+			d.Places[i] = &q
+		}
+	}
+	return d
+}
+
 // Copy copies the record so that it can be changed; a nil chunk is one never touched.
 func (c *Chunk) Copy() *Chunk {
 	if c == nil {
@@ -196,6 +256,21 @@
 	return c.Tries
 }
 
+// PutAs places task i as attempt try, whose number is one for all tasks of a gang.
+func (c *Chunk) PutAs(i int, host string, try uint64, atS int64) {
+	c.Tries = max(c.Tries, try)
+	c.Places[i] = &Place{Try: try, Host: host, AtS: atS}
+}
+
+func (c *Chunk) setDone(i int) {
+	b := c.bits()
+	for len(b) <= i/8 {
+		b = append(b, 0)
+	}
+	b[i/8] |= 1 << (i % 8)
+	c.Bits = base64.RawStdEncoding.EncodeToString(b)
+}
+
 // End takes attempt try of task i off its machine. It tells whether that was
 // the task's present attempt; if not, nothing changes.
 func (c *Chunk) End(i int, try uint64, done, failed bool) bool {
@@ -206,12 +281,7 @@
 	delete(c.Places, i)
 	switch {
 	case done:
-		b := c.bits()
-		for len(b) <= i/8 {
-			b = append(b, 0)
-		}
-		b[i/8] |= 1 << (i % 8)
-		c.Bits = base64.RawStdEncoding.EncodeToString(b)
+		c.setDone(i)
 		c.Errors = 0
 	case failed:
 		c.Errors++
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"violetturn/internal/api"
+	"violetturn/internal/job"
 	"violetturn/internal/sched"
 )
 
@@ -23,6 +24,13 @@
 	Term uint64 `json:"term"`
 	Mute bool   `json:"m,omitempty"` // of a node: its workers don't reach it
 	Hear bool   `json:"h,omitempty"` // of a node: some worker does
+	V    int    `json:"v,omitempty"` // of a node: the newest forms of records that it reads
+}
+
+// Mark is what a node leaves behind of the forms that it reads: it stays when the
+// node's own record goes with its hold.
+type Mark struct {
+	V int `json:"v"`
 }
 
 // Record is a part's free-room record. Whoever places a task on a machine of
@@ -170,6 +178,7 @@
 type Release struct {
 	Try          uint64
 	Done, Failed bool
+	Exit         job.Exit  // the same for a gang's task
 	At           time.Time // when it was taken
 }
 
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -37,6 +37,7 @@
 	Cap, Free               Room
 	Warm                    map[string]bool // images that it likely has
 	Daemons, Sweeps         int             // tasks on it, by their jobs' shape
+	WaitS                   float64         // seconds until it can take a start, as far as is known
 }
 
 // Ask is what one task of a job asks of a machine.
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -29,6 +29,9 @@
 	Cut    map[string]bool  // nodes whose requests don't arrive
 	Writes int              // changes in transactions so far, those of refused ones too
 	Next   map[string]Fault // what happens to a node's next transaction
+	Ops    int              // changes in a transaction, since its limits came down; 0: not yet
+	ValueB int              // bytes of a value, likewise
+	Large  int              // transactions that were refused for their size
 	epoch  uint64
 	keys   map[string]item
 	log    []store.Change
@@ -87,6 +90,16 @@
 }
 
 func (s *Store) apply(t *store.Txn) (uint64, bool, []string, error) {
+	if s.Ops > 0 {
+		large := len(t.Then) > s.Ops || len(t.Guards) > 4*s.Ops
+		for _, op := range t.Then {
+			large = large || len(op.Value) > s.ValueB
+		}
+		if large {
+			s.Large++
+			return 0, false, nil, store.ErrTooLarge
+		}
+	}
 	for _, op := range t.Then {
 		if op.Permit != nil && s.holds[*op.Permit] == nil {
 			return 0, false, nil, store.ErrNoPermit
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -29,8 +29,10 @@
 	Zones   []string
 	Lease   time.Duration
 	CancelS time.Duration
-	Limits  map[string]float64 // accelerators of a team's tasks at most
-	Lag     time.Duration      // of the cloud's list
+
+	GangWait, GangPeer time.Duration
+	Limits             map[string]float64 // accelerators of a team's tasks at most
+	Lag                time.Duration      // of the cloud's list
 
 	Store  *Store
 	Cloud  *Cloud
@@ -48,6 +50,7 @@
 	AskedStop bool          // a user asked for its cancellation
 	StopTold  time.Time     // when its user was told that it is cancelled
 	Done      map[int]bool
+	gang      gang
 }
 
 // New makes a world.
@@ -71,6 +74,7 @@
 		for _, name := range w.Cloud.Names() {
 			w.Cloud.Hosts[name].tick()
 		}
+		w.tickGangs()
 		for uid, j := range w.Jobs {
 			if j.StopTold.IsZero() || w.Now.Sub(j.StopTold) <= w.CancelS {
 				continue
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"violetturn/internal/httpwire"
@@ -22,6 +23,8 @@
 	ErrUnknown = errors.New("state service did not answer")
 	// ErrNoPermit: the hold has ended.
 	ErrNoPermit = errors.New("no such hold")
+	// ErrTooLarge: a transaction or a value is larger than the service takes.
+	ErrTooLarge = errors.New("state service refused the size")
 	// ErrTooOld: changes since that revision are no longer kept.
 	ErrTooOld = errors.New("changes no longer kept")
 )
@@ -80,7 +83,11 @@
 	http     *transport.Client
 	addr     string
 	deadline time.Duration
-	limits   Limits
+	mu       sync.Mutex // of those down to refusals
+	limits   Limits     // as far as is known
+	next     Limits     // what they become at some moment, or are
+	among    int
+	refusals []time.Time // of changes, the last ones
 	reqs     *transport.Budget
 	writes   *transport.Budget
 	onAnswer func(ok bool)
@@ -90,9 +97,10 @@
 type Limits struct{ RPS, WriteRPS float64 }
 
 // New makes a client of one of so many controllers. deadline bounds an ordinary
-// request. onAnswer hears of each request whether the service served it.
-func New(h *transport.Client, addr string, deadline time.Duration, limits Limits, controllers int, onAnswer func(ok bool)) *Client {
-	c := &Client{http: h, addr: addr, deadline: deadline, limits: limits, onAnswer: onAnswer}
+// request. The limits become next at some moment, which shows in refusals. onAnswer
+// hears of each request whether the service served it.
+func New(h *transport.Client, addr string, deadline time.Duration, limits, next Limits, controllers int, onAnswer func(ok bool)) *Client {
+	c := &Client{http: h, addr: addr, deadline: deadline, limits: limits, next: next, among: controllers, onAnswer: onAnswer}
 	r, w, burst := c.share(controllers)
 	c.reqs, c.writes = transport.NewBudget(r, r), transport.NewBudget(w, burst)
 	return c
@@ -108,12 +116,48 @@
 
 // Among sets the share to that of one of so many controllers.
 func (c *Client) Among(controllers int) {
-	r, w, burst := c.share(controllers)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.among = controllers
+	c.set()
+}
+
+func (c *Client) set() {
+	r, w, burst := c.share(c.among)
 	now := time.Now()
 	c.reqs.Set(now, r, r)
 	c.writes.Set(now, w, burst)
 }
 
+// few is how many refusals of changes within a short while show that the coming rate
+// holds: one may come when several controllers spend at once what they had saved.
+const few = 3
+
+// refused notes a refusal of changes for their rate.
+func (c *Client) refused(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.limits == c.next {
+		return
+	}
+	c.refusals = append(c.refusals, now)
+	if n := len(c.refusals); n > few {
+		c.refusals = c.refusals[n-few:]
+	}
+	if len(c.refusals) == few && now.Sub(c.refusals[0]) < 4*c.deadline {
+		c.limits = c.next
+		c.set()
+	}
+}
+
+// Fallen tells the client that the coming limits hold now. They don't rise again.
+func (c *Client) Fallen() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limits = c.next
+	c.set()
+}
+
 // Used tells how many requests and writes were sent in all.
 func (c *Client) Used() (reqs, writes float64) { return c.reqs.Used(), c.writes.Used() }
 
@@ -182,6 +226,7 @@
 	c.onAnswer(m.Status != 503)
 	if m.Status == 429 && writes > 0 {
 		c.writes.Drain() // several controllers spent what they had saved at once
+		c.refused(time.Now())
 	}
 	if m.Status == 503 || m.Status == 429 {
 		return nil, ErrRefused
@@ -283,6 +328,9 @@
 	case m.Status == 400 && a.Error == "no such lease":
 		return 0, false, nil, ErrNoPermit
 	}
+	if m.Status == 400 || m.Status == 413 { // nothing we send is malformed otherwise
+		return 0, false, nil, fmt.Errorf("%w: %.100s", ErrTooLarge, m.Body)
+	}
 	return 0, false, nil, fmt.Errorf("state service: status %d: %.100s", m.Status, m.Body)
 }
 
