--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -128,6 +128,7 @@
 	fallen             bool               // the state service has refused what was larger than its coming limits
 	leastOps           int                // changes in a transaction that it took less than announced for; 0: not so
 	gangs              map[string]*gangState
+	short              map[string]bool // teams whose limit left too little for a placement
 	missed             map[string]bool // gangs whose claims are to be released
 	dividedAt, sweptAt time.Time
 	narrow             map[string]int       // jobs with a record that outgrew a value: their generation then, from 1 on
@@ -182,7 +183,7 @@
 		fencing: make(chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/16)), nudging: make(chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/32)), users: make(chan struct{}, 128),
 		mine: map[string]*ownPart{}, sessions: map[string]*part.Session{}, absent: map[string]time.Time{}, homeUp: map[string]time.Time{},
 		sharers: cfg.Facts.Size, away: map[string]time.Time{}, refused: map[string]refusal{}, past: map[string]job.Past{}, adopt: map[string]part.Machine{},
-		retryAt: map[string]time.Time{}, errSeen: map[string]int{}, news: map[string]bool{}, narrow: map[string]int{}, gangs: map[string]*gangState{}, missed: map[string]bool{}, commits: map[string]commits{}, arrivals: map[string][]arrival{}, bias: map[string]float64{},
+		retryAt: map[string]time.Time{}, errSeen: map[string]int{}, news: map[string]bool{}, narrow: map[string]int{}, short: map[string]bool{}, gangs: map[string]*gangState{}, missed: map[string]bool{}, commits: map[string]commits{}, arrivals: map[string][]arrival{}, bias: map[string]float64{},
 		reach: reach{store: true, peers: map[string]bool{}}, renting: renting{inDoubt: map[sched.Offer]cloud.Rental{}, seen: map[string]time.Time{}}}
 	c.m = newMirror(log, c.arrived, func(host string) { c.news[host] = true })
 	c.m.onEnd = c.remember
--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -56,7 +56,9 @@
 			if !c.acting() || ctx.Err() != nil {
 				return
 			}
-			if !step(ctx) {
+			more := step(ctx)
+			c.gangsFirst(ctx)
+			if !more {
 				break
 			}
 		}
--- a/internal/controller/found_test.go
+++ b/internal/controller/found_test.go
@@ -895,7 +895,7 @@
 	}
 	s.rounds(t, 4, "all three share", func() bool { return c.sharers == 3 })
 	s.nodes[1].up, s.nodes[2].up = false, false
-	s.rounds(t, 20, "alone", func() bool { return c.sharers == 1 && c.secondsWrites() == 25 })
+	s.rounds(t, 20, "alone", func() bool { return c.sharers == 1 && c.secondsWrites() == int(c.cfg.Lowest().WriteRPS) })
 	s.start(2)
 	s.rounds(t, 20, "two share", func() bool { return c.sharers == 2 })
 }
--- a/internal/controller/gangs.go
+++ b/internal/controller/gangs.go
@@ -16,7 +16,8 @@
 // for room goes, and whether its tasks were seen running.
 type gangState struct {
 	find *sched.Gang
-	ran  uint64 // the attempt that was seen running here
+	look time.Time // when room was last looked for out of turn
+	ran  uint64    // the attempt that was seen running here
 }
 
 func (c *Controller) gang(uid string) *gangState {
@@ -288,6 +289,31 @@
 	}
 }
 
+// gangsFirst places gangs that came while other decisions wait for their changes: all
+// tasks of one start with the last, so each second counts as often as it has tasks. One
+// that finds no room is not looked at again for a while out of turn.
+func (c *Controller) gangsFirst(ctx context.Context) {
+	now := c.now()
+	c.mu.Lock()
+	var claims []*gangClaim
+	some := false
+	for uid, j := range c.m.jobs {
+		if !isGang(j) || j.main.Gone || c.owned(j.main.Part) == nil || len(j.pending()) == 0 {
+			continue
+		}
+		if g := c.gang(uid); now.Sub(g.look) > 8*c.cfg.Pause() {
+			g.look, some = now, true
+		}
+	}
+	if some && c.canAct(now) {
+		claims = c.plan(now).gangs
+	}
+	c.mu.Unlock()
+	for _, g := range claims {
+		c.claimGang(ctx, g)
+	}
+}
+
 // gangRound commits what became of gangs: ends of their tasks, which decide about all
 // of them, orderly stops, claims that are given up.
 func (c *Controller) gangRound(ctx context.Context) bool {
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"violetturn/internal/api"
@@ -20,8 +21,9 @@
 	var todo []placement
 	var gangs []*gangClaim
 	var marks []*placed
+	began := c.now()
 	if c.waiting() {
-		p := c.plan(c.now())
+		p := c.plan(began)
 		todo, gangs, marks = p.places, p.gangs, p.stops
 	}
 	c.mu.Unlock()
@@ -29,6 +31,12 @@
 		c.claimGang(ctx, g)
 	}
 	for tries := 0; len(todo) > 0 && tries < 3; {
+		if c.now().Sub(began) > 4*c.cfg.Pause() {
+			// What came meanwhile may be more urgent than the rest of this plan: with
+			// few changes a second a long one took many seconds.
+			c.poke()
+			break
+		}
 		// Every placement in a part changes its record. Looking at the newest
 		// one first costs a request, being overtaken costs all changes.
 		room := c.store.Ready(ctx, min(jobsOf(todo)+len(c.parts), c.cfg.Lowest().TxnOps), store.Decision)
@@ -56,9 +64,47 @@
 		}
 	}
 	c.markRound(ctx, marks)
+	c.reclaimRound(ctx)
 	return false
 }
 
+// reclaimRound takes back what parts hold of teams' limits and don't use, for teams
+// that had too little for a placement. A gang needs all of a limit at once, when the
+// parts hold too little yet to give their surplus back by themselves. Each part's
+// record is written with its share, so that no placement there rests on the old one.
+func (c *Controller) reclaimRound(ctx context.Context) {
+	c.mu.Lock()
+	now := c.now()
+	t := newTxn()
+	cl := &claims{c: c, by: map[string]*claim{}}
+	for _, team := range slices.Sorted(maps.Keys(c.short)) {
+		delete(c.short, team)
+		for _, p := range c.parts {
+			held, _ := c.shareOf(team, p)
+			x := c.claimOn(p, now)
+			if x == nil || len(cl.by) > 0 && len(cl.by) >= c.limits().TxnOps-1 {
+				continue
+			}
+			if use := part.Unvec(x.use[team]); !use.Fits(sched.Room{CPUs: held.CPUs, GPUs: held.GPUs}) {
+				x.shares[team] = sched.Room{CPUs: use.CPUs, GPUs: use.GPUs}
+				cl.by[p] = x
+			}
+		}
+		if len(cl.by) > 0 {
+			break // one team at a time
+		}
+	}
+	if len(cl.by) > 0 {
+		cl.write(t)
+	}
+	c.mu.Unlock()
+	if t.ops() > 0 && c.acting() {
+		if done, _, _ := c.commit(ctx, "shares", t, store.Decision); done {
+			c.poke()
+		}
+	}
+}
+
 // markRound marks tasks that have to leave for others that can't be placed in the same
 // transaction: a gang, whose room comes from several machines, or one whose victims are
 // recorded in more places than it takes. The room that is being left is kept for them
@@ -217,6 +263,7 @@
 	use := part.Unvec(cl.use[r.Owner]).Add(n)
 	share, grown, within := c.share(r.Owner, p, use, cl.shares, x.by)
 	if !within {
+		c.short[r.Owner] = true
 		return nil, 0, nil // the team's limit
 	}
 	if grown {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -30,8 +30,9 @@
 	gangs  []*gangClaim // room for whole gangs
 	stops  []*placed    // tasks that have to leave for gangs
 	unmet  []sched.Unmet
-	all    []sched.Unmet // what found no room at once, peers' jobs included
-	left   []*sched.Host // all machines with the room that is left after all that
+	all    []sched.Unmet   // what found no room at once, peers' jobs included
+	kept   map[string]bool // machines with room that waits for the rest of a gang's
+	left   []*sched.Host   // all machines with the room that is left after all that
 }
 
 // capOf gives a machine type's size. Call with the lock held.
@@ -389,7 +390,7 @@
 func (c *Controller) plan(now time.Time) *plan {
 	began := time.Now()
 	defer func() { c.planned += time.Since(began) }()
-	out := &plan{}
+	out := &plan{kept: map[string]bool{}}
 	if len(c.flavors) == 0 || !c.canAct(now) {
 		return out
 	}
@@ -510,6 +511,11 @@
 		if l.q.mine {
 			c.missGang(x, now)
 		}
+		for _, h := range x.seats {
+			if h != nil && x.kept {
+				out.kept[h.Name] = true
+			}
+		}
 		searches[l] = x
 	}
 	for i := 0; i < len(jobs); {
--- /dev/null
+++ b/internal/controller/production_test.go
@@ -0,0 +1,334 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"violetturn/internal/api"
+	"violetturn/internal/job"
+	"violetturn/internal/part"
+	"violetturn/internal/standin"
+	"violetturn/internal/store"
+	"violetturn/internal/transport"
+)
+
+// The structures into which the version in production reads records, field by field as
+// it has them. It writes back what it read: a field that is not here is lost.
+type (
+	prodMain struct {
+		Run   api.Run    `json:"r"`
+		Part  string     `json:"p"`
+		AtMS  int64      `json:"at"`
+		Chunk int        `json:"k"`
+		Gone  bool       `json:"w,omitempty"`
+		Fin   []int      `json:"f,omitempty"`
+		Zone  string     `json:"z,omitempty"`
+		Inner bool       `json:"i,omitempty"`
+		Only  *prodChunk `json:"o,omitempty"`
+	}
+	prodPlace struct {
+		Try  uint64 `json:"t"`
+		Host string `json:"m"`
+		Stop bool   `json:"s,omitempty"`
+		AtS  int64  `json:"a,omitempty"`
+	}
+	prodChunk struct {
+		Tries  uint64             `json:"c,omitempty"`
+		Errors int                `json:"e,omitempty"`
+		Bits   string             `json:"d,omitempty"`
+		Places map[int]*prodPlace `json:"p,omitempty"`
+	}
+	prodOwn struct {
+		Node string `json:"node"`
+		Inc  uint64 `json:"inc"`
+		Term uint64 `json:"term"`
+		Mute bool   `json:"m,omitempty"`
+		Hear bool   `json:"h,omitempty"`
+	}
+	prodRecord struct {
+		Term     uint64                `json:"term"`
+		By       string                `json:"by"`
+		Released bool                  `json:"rel,omitempty"`
+		Doubt    bool                  `json:"d,omitempty"`
+		Free     json.RawMessage       `json:"free"`
+		Use      map[string][3]float64 `json:"u,omitempty"`
+	}
+	prodMachine struct {
+		Part    string `json:"p"`
+		Build   string `json:"b"`
+		Site    string `json:"s"`
+		Loaners bool   `json:"l,omitempty"`
+		Addr    string `json:"a,omitempty"`
+		For     string `json:"f,omitempty"`
+		AtMS    int64  `json:"at"`
+	}
+	prodUsage struct {
+		Held map[string][3]float64 `json:"u"`
+	}
+)
+
+// shapes keeps what a job's shape is called: a shape that the version in production
+// doesn't know it takes for an array, and writes back under its name.
+type shapes map[string]string
+
+func (s shapes) read(key string, raw json.RawMessage) json.RawMessage {
+	if raw, _ = asProduction(key, raw); raw != nil && strings.HasPrefix(key, jobKey) {
+		var m prodMain
+		_ = json.Unmarshal(raw, &m) // asProduction wrote it
+		if s[key] = m.Run.Shape; m.Run.Shape != api.Daemon {
+			m.Run.Shape = api.Sweep
+		}
+		raw = api.JSON(m)
+	}
+	return raw
+}
+
+func (s shapes) write(key string, raw json.RawMessage) json.RawMessage {
+	if was := s[key]; was != "" && strings.HasPrefix(key, jobKey) {
+		var m prodMain
+		_ = json.Unmarshal(raw, &m) // asProduction wrote it
+		m.Run.Shape = was
+		raw = api.JSON(m)
+	}
+	return raw
+}
+
+// asProduction gives a record as the version in production writes it back, nil for one
+// that it doesn't know.
+func asProduction(key string, raw json.RawMessage) (json.RawMessage, error) {
+	var v any
+	switch {
+	case strings.HasPrefix(key, jobKey):
+		v = &prodMain{}
+	case strings.HasPrefix(key, taskKey):
+		v = &prodChunk{}
+	case strings.HasPrefix(key, partKey):
+		v = &prodRecord{}
+	case strings.HasPrefix(key, ownKey), strings.HasPrefix(key, nodeKey):
+		v = &prodOwn{}
+	case strings.HasPrefix(key, pageKey):
+		v = &map[string]*prodMachine{}
+	case strings.HasPrefix(key, teamKey):
+		v = &prodUsage{}
+	case strings.HasPrefix(key, markKey):
+		return nil, nil
+	default:
+		return raw, nil
+	}
+	if err := json.Unmarshal(raw, v); err != nil {
+		return nil, err
+	}
+	return api.JSON(v), nil
+}
+
+// productionStore makes a controller's sight of the state service that of the version
+// in production: it sees no fields, and no kinds of records, that this doesn't know,
+// and writes none.
+type productionStore struct {
+	stateService
+	shapes shapes
+}
+
+func (p *productionStore) List(ctx context.Context, prefix string) ([]store.Item, uint64, error) {
+	items, epoch, err := p.stateService.List(ctx, prefix)
+	var out []store.Item
+	for _, it := range items {
+		if it.Value = p.shapes.read(it.Key, it.Value); it.Value != nil {
+			out = append(out, it)
+		}
+	}
+	return out, epoch, err
+}
+
+func (p *productionStore) Changes(ctx context.Context, prefix string, since uint64, block time.Duration) ([]store.Change, uint64, error) {
+	log, epoch, err := p.stateService.Changes(ctx, prefix, since, block)
+	var out []store.Change
+	for _, e := range log {
+		if e.Drop == "" {
+			if e.Value = p.shapes.read(e.Write, e.Value); e.Value == nil {
+				continue
+			}
+		}
+		out = append(out, e)
+	}
+	return out, epoch, err
+}
+
+func (p *productionStore) Multi(ctx context.Context, t *store.Txn, r store.Rank) (uint64, bool, []string, error) {
+	u := &store.Txn{Guards: t.Guards, Then: []store.Op{}}
+	for _, op := range t.Then {
+		if op.Drop == "" {
+			v, err := asProduction(op.Write, op.Value)
+			if err != nil {
+				panic(err)
+			}
+			if v == nil {
+				continue
+			}
+			op.Value = p.shapes.write(op.Write, v)
+		}
+		u.Then = append(u.Then, op)
+	}
+	return p.stateService.Multi(ctx, u, r)
+}
+
+// same tells whether two records say the same.
+func same(t *testing.T, a, b json.RawMessage) bool {
+	var x, y any
+	if err := json.Unmarshal(a, &x); err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(b, &y); err != nil {
+		t.Fatal(err)
+	}
+	return reflect.DeepEqual(x, y)
+}
+
+// Records that the version in production wrote are read and written back as they were:
+// the files are its own work.
+func TestReadsProductionRecords(t *testing.T) {
+	for name, read := range map[string]func(raw json.RawMessage) (any, error){
+		"job-inner.json":   func(raw json.RawMessage) (any, error) { return job.ParseMain(raw) },
+		"job-chunked.json": func(raw json.RawMessage) (any, error) { return job.ParseMain(raw) },
+		"chunk.json":       func(raw json.RawMessage) (any, error) { return job.ParseChunk(raw) },
+		"owner.json":       func(raw json.RawMessage) (any, error) { v := part.Own{}; return &v, json.Unmarshal(raw, &v) },
+		"node.json":        func(raw json.RawMessage) (any, error) { v := part.Own{}; return &v, json.Unmarshal(raw, &v) },
+		"part.json":        func(raw json.RawMessage) (any, error) { v := part.Record{}; return &v, json.Unmarshal(raw, &v) },
+		"page.json":        func(raw json.RawMessage) (any, error) { v := part.Page{}; return &v, json.Unmarshal(raw, &v) },
+		"team.json":        func(raw json.RawMessage) (any, error) { v := part.Usage{}; return &v, json.Unmarshal(raw, &v) },
+		"past.json":        func(raw json.RawMessage) (any, error) { v := job.Past{}; return &v, json.Unmarshal(raw, &v) },
+	} {
+		raw, err := os.ReadFile(filepath.Join("testdata", "production", name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		v, err := read(raw)
+		if err != nil || !same(t, raw, api.JSON(v)) {
+			t.Errorf("%s comes back as %s, %v", name, api.JSON(v), err)
+		}
+	}
+}
+
+// What is written while a controller may still be of the version in production says
+// the same after that has read it and written it back, but for the word about itself
+// that a node leaves in its own record, which nobody else rewrites.
+func TestProductionReadsUpgradeRecords(t *testing.T) {
+	s := newSim()
+	s.nodes[1].old = true
+	s.start(1)
+	for range 20 {
+		s.round()
+	}
+	s.job(func(r *api.Run, _ *time.Duration) { r.Pieces, r.GPUs, r.CPUs, r.MemGB = 40, 0, 0.1, 0.1 })
+	s.job(func(r *api.Run, _ *time.Duration) { r.Pieces, r.Shape, r.Together = 2, api.Daemon, true })
+	for range 20 {
+		s.round()
+	}
+	items, _, err := s.nodes[0].c.store.List(context.Background(), live)
+	if err != nil || len(items) < 8 {
+		t.Fatal(len(items), err)
+	}
+	for _, it := range items {
+		old, err := asProduction(it.Key, it.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.HasPrefix(it.Key, markKey) {
+			continue // it knows no such records, and leaves them alone
+		}
+		if strings.HasPrefix(it.Key, nodeKey) {
+			var o part.Own
+			if err := json.Unmarshal(it.Value, &o); err != nil {
+				t.Fatal(err)
+			}
+			o.V = 0
+			it.Value = api.JSON(o)
+		}
+		if !same(t, it.Value, old) {
+			t.Errorf("%s: %s comes back as %s", it.Key, it.Value, old)
+		}
+	}
+	if s.nodes[0].c.upgraded() {
+		t.Error("upgraded with one of the version in production")
+	}
+}
+
+// That all are new is known from what each leaves behind: also to one alone after the
+// end of all, and not as long as one has never shown it.
+func TestUpgradeIsKnown(t *testing.T) {
+	s := newSim()
+	for i := range s.nodes {
+		s.nodes[i].old = true
+		s.start(i)
+	}
+	gang := func() int {
+		r := &api.Run{UID: "run-000900", Lane: "l", Owner: "b", Shape: api.Ensemble, Rank: "standard", Pieces: 2, CPUs: 1, MemGB: 1, Bundle: "i"}
+		s.w.Jobs[r.UID] = &standin.Job{Run: *r, RunTime: time.Second, Done: map[int]bool{}}
+		for _, n := range s.nodes {
+			if n.up && !n.old {
+				return n.c.submit(context.Background(), submission(r)).Status
+			}
+		}
+		return 0
+	}
+	for i := range s.nodes {
+		for range 10 {
+			s.round()
+		}
+		s.nodes[i].old = false
+		s.start(i)
+		for range 10 {
+			s.round()
+		}
+		if i < 2 {
+			if a := gang(); a != 503 {
+				t.Fatalf("with %d new controllers a gang is answered %d", i+1, a)
+			}
+			s.nodes[0].up = i == 0 // the first one dies, and stays counted
+		}
+	}
+	for _, n := range s.nodes {
+		n.up = false
+	}
+	for range 40 {
+		s.round()
+	}
+	s.start(2)
+	for range 30 {
+		s.round()
+	}
+	if a := gang(); a != 201 {
+		t.Fatalf("one new controller alone answers %d", a)
+	}
+}
+
+// The stand-ins' checkers see what a controller of the version in production does to a
+// gang that was accepted too early.
+func TestPlantedGangIsCaught(t *testing.T) {
+	s := newSim()
+	for i := range s.nodes {
+		s.nodes[i].old = i > 0
+		s.start(i)
+	}
+	for range 30 {
+		s.round()
+	}
+	r := api.Run{UID: "run-000001", Lane: "l", Owner: "b", Shape: api.Ensemble, Rank: "standard", Pieces: 4, CPUs: 4, MemGB: 1, Bundle: "i"}
+	s.w.Jobs[r.UID] = &standin.Job{Run: r, RunTime: time.Second, Done: map[int]bool{}}
+	m := &job.Main{Run: r, Part: "n1", AtMS: s.w.Now.UnixMilli()}
+	m.Fit(2, 300)
+	a := &accept{ctx: context.Background(), main: m, out: make(chan transport.Response, 1)}
+	s.nodes[0].c.acceptBatch(context.Background(), []*accept{a}) // without asking who may read it
+	for range 200 {
+		s.round()
+	}
+	if len(s.w.Broken) == 0 && s.w.Jobs[r.UID].Phase == api.Done {
+		t.Fatal("nobody sees that its tasks were placed one by one")
+	}
+}
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -316,11 +316,13 @@
 	now   time.Time
 	hosts []*sched.Host   // with the room that is left after what is to be placed
 	spare map[string]bool // idle ones that the head-room needs
+	kept  map[string]bool // those that wait for the rest of a gang's room
 }
 
 func (v *idleView) left() []*sched.Host {
 	if v.hosts == nil {
-		v.hosts = v.c.plan(v.now).left
+		p := v.c.plan(v.now)
+		v.hosts, v.kept = p.left, p.kept
 	}
 	return v.hosts
 }
@@ -330,7 +332,7 @@
 	if v.spare == nil {
 		v.spare = v.c.spares(v.left(), v.now)
 	}
-	return v.spare[host]
+	return v.spare[host] || v.kept[host]
 }
 
 // judge decides whether a machine is to be returned. Call with the lock held.
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -35,6 +35,7 @@
 	cutOff  string // a zone that is cut off from everything
 	apart   bool   // the zones can't reach each other
 	refuse  bool   // connections between controllers are refused
+	fell    bool   // the state service has its coming limits
 	log     *slog.Logger
 }
 
@@ -78,6 +79,7 @@
 	direct *standin.Direct
 	aside  []func()
 	up     bool
+	old    bool // it behaves as the version in production
 	still  bool // it stands still, its clock runs on
 }
 
@@ -100,7 +102,9 @@
 	f := &s.Facts
 	f.Size, f.Zones = len(names), zones
 	f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = 1, 9, 40
-	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = 120, 25, 2, 6
+	f.Workers.GangWaitS, f.Workers.GangPeerS = 12, 3
+	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = 120, 25, 4, 8
+	f.State.Next = &config.StateLimits{RPS: 120, WriteRPS: 18, ValueKB: 2, TxnOps: 4}
 	f.Cloud.RPS, f.Cloud.ListLagS = 8, 2
 	f.Limits.MemoryMB, f.Limits.MaxSockets = 100, 900
 	for _, t := range []string{"a", "b"} {
@@ -114,6 +118,7 @@
 	w.Flavor = standin.Flavor{Label: "m", CPUs: 8, GPUs: 2, MemGB: 64, Boot: 6 * time.Second, Pull: 2 * time.Second}
 	w.Zones = []string{"x", "y"}
 	w.Lease, w.CancelS, w.Lag = 9*time.Second, 40*time.Second, 2*time.Second
+	w.GangWait, w.GangPeer = 12*time.Second, 3*time.Second
 	w.Limits = map[string]float64{"a": 5}
 	s := &sim{w: w, answers: map[string]*inFlight{}, log: slog.New(slog.NewTextHandler(io.Discard, nil))}
 	if os.Getenv("SIM_LOG") != "" {
@@ -131,6 +136,9 @@
 	n := s.nodes[i]
 	names := []string{"n0", "n1", "n2"}
 	cfg := settings(i, names, s.w.Zones, s.w.Limits)
+	if n.old {
+		cfg.Facts.State.Next = nil
+	}
 	n.c = newController(cfg, config.DefaultPolicy(), s.log.With("node", n.name))
 	n.c.rnd = rand.New(rand.NewPCG(uint64(i), 1))
 	begin := s.w.Now
@@ -149,6 +157,12 @@
 	n.direct = &standin.Direct{W: s.w, Node: n.name, Apart: func(x *standin.Worker) bool { return s.parted(s.zone(i), x.Site) }}
 	c.peers = link{s, i}
 	c.store = &standin.Client{S: s.w.Store, Node: n.name, Heard: c.storeAnswered, TxnOps: cfg.Facts.State.TxnOps, ValueB: int(cfg.Facts.State.ValueKB * 1024)}
+	if !n.old { // it makes nothing larger than the coming limits but what the version before made
+		c.store.(*standin.Client).TxnOps = cfg.Lowest().TxnOps
+	}
+	if n.old {
+		c.store = &productionStore{c.store, shapes{}}
+	}
 	c.cloud = &standin.CloudClient{C: s.w.Cloud, Node: n.name}
 	c.workers = n.direct
 	n.up, n.still = true, false
@@ -245,8 +259,8 @@
 }
 
 func (s *sim) submit(i int, uid string) {
-	if !s.nodes[i].works() {
-		return
+	if !s.nodes[i].works() || s.nodes[i].old && s.w.Jobs[uid].Run.Shape == api.Ensemble {
+		return // nothing new is asked of the version before
 	}
 	r := s.nodes[i].c.serve(context.Background(), &peer.Request{Kind: peer.Request_KIND_SUBMIT, Body: submission(&s.w.Jobs[uid].Run)})
 	s.told(uid, r.Status, r.Body, true)
@@ -305,7 +319,8 @@
 	clear(s.w.Cloud.Cut)
 	s.cutOff, s.apart, s.refuse = "", false, false
 	for i, n := range s.nodes {
-		if !n.up {
+		if !n.up || n.old {
+			n.old = false
 			s.start(i)
 		}
 	}
@@ -321,7 +336,7 @@
 func (s *sim) settled() bool {
 	for _, id := range s.uids {
 		j := s.w.Jobs[id]
-		if j.Phase != "" || j.Run.Shape != api.Sweep {
+		if j.Phase != "" || j.Run.Shape == api.Daemon {
 			continue
 		}
 		// It may be accepted although no user was told.
@@ -360,7 +375,7 @@
 }
 
 func randomRun(t *rapid.T, uid string) (*api.Run, time.Duration) {
-	r := &api.Run{UID: uid, Lane: "l", Owner: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "owner"), Shape: rapid.SampledFrom([]string{api.Sweep, api.Daemon}).Draw(t, "shape"),
+	r := &api.Run{UID: uid, Lane: "l", Owner: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "owner"), Shape: rapid.SampledFrom([]string{api.Sweep, api.Daemon, api.Ensemble}).Draw(t, "shape"),
 		Rank: rapid.SampledFrom([]string{"production", "standard", "idle"}).Draw(t, "rank"), CPUs: 1, GPUs: 1, MemGB: 4, Bundle: "img", SizeGB: 1}
 	r.Pieces = rapid.IntRange(1, 5).Draw(t, "pieces")
 	if r.Shape == api.Sweep && rapid.IntRange(0, 5).Draw(t, "large") == 0 {
@@ -378,6 +393,15 @@
 	if rapid.Bool().Draw(t, "saves") {
 		r.BookmarkS, r.StowS = 5, 1
 	}
+	if r.Shape == api.Ensemble {
+		r.GPUs = float64(rapid.IntRange(0, 1).Draw(t, "gpus"))
+		if rapid.IntRange(0, 7).Draw(t, "large") == 0 {
+			r.GPUs, r.CPUs, r.Pieces = 0, 0.5, rapid.IntRange(20, 60).Draw(t, "pieces") // several chunks
+		}
+		if r.BookmarkS > 0 {
+			r.BookmarkS = 2
+		}
+	}
 	if r.Shape == api.Daemon {
 		r.Pieces = min(r.Pieces, 4)
 	}
@@ -450,6 +474,24 @@
 				s.start(i)
 			}
 		},
+		"upgrade": func(t *rapid.T) { // it is killed and comes back new, at once or later
+			n := s.nodes[node(t)]
+			if !n.old {
+				t.Skip("new already")
+			}
+			n.old = false
+			if n.up = false; rapid.Bool().Draw(t, "at once") {
+				s.start(slices.Index(s.nodes, n))
+			}
+		},
+		"fall": func(t *rapid.T) { // the limits come down when all are new
+			if s.fell || slices.ContainsFunc(s.nodes, func(n *simNode) bool { return n.old || !n.up }) || !s.nodes[0].c.upgraded() {
+				t.Skip("not yet")
+			}
+			s.fell = true
+			l := s.nodes[0].c.cfg.Lowest()
+			s.w.Store.Ops, s.w.Store.ValueB = l.TxnOps, int(l.ValueKB*1024)
+		},
 		"restart": func(t *rapid.T) { s.start(node(t)) },
 		"outage":  func(t *rapid.T) { s.w.Store.Down = !s.w.Store.Down },
 		"refuse": func(t *rapid.T) {
@@ -503,7 +545,11 @@
 		"unlink": func(t *rapid.T) { s.refuse = !s.refuse },
 		"stall": func(t *rapid.T) { // stands still before a transaction, and then acts on what it believed
 			n, rounds := s.nodes[node(t)], rapid.IntRange(1, 30).Draw(t, "rounds")
-			n.c.store.(*standin.Client).Stall = func() {
+			client, ok := n.c.store.(*standin.Client)
+			if !ok {
+				client = n.c.store.(*productionStore).stateService.(*standin.Client)
+			}
+			client.Stall = func() {
 				c := n.c
 				n.still = true
 				for range rounds {
@@ -575,6 +621,12 @@
 func TestRulesHoldUnderTrouble(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSim()
+		if rapid.Bool().Draw(t, "production") { // the version in production runs when the day begins
+			for i, n := range s.nodes {
+				n.old = true
+				s.start(i)
+			}
+		}
 		for range 4 {
 			s.round()
 		}
@@ -617,7 +669,7 @@
 					t.Fatalf("%s is cancelled and has %d tasks", id, on)
 				}
 			case !j.Told:
-			case j.Run.Shape == api.Sweep && j.Phase != api.Done:
+			case j.Run.Shape != api.Daemon && j.Phase != api.Done:
 				t.Fatalf("%s has not been done: %d of %d; %s", id, len(j.Done), j.Run.Pieces, s.explain(id))
 			}
 		}
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -146,6 +146,9 @@
 func Delay(seats []*Host, a *Ask) float64 {
 	d := 0.0
 	for _, h := range seats {
+		if h == nil {
+			continue
+		}
 		w := h.WaitS
 		if !h.Warm[a.Bundle] {
 			w += a.PullS
