--- a/internal/controller/found_test.go
+++ b/internal/controller/found_test.go
@@ -264,11 +264,60 @@
 			s.round()
 		}
 	}
+	// The same of gangs: one whose machine is cut off, one cancelled out of sight, and
+	// several that together would pass their team's limit.
+	cutGang := func(s *sim) {
+		s.w.GangPeer = 20 * time.Second // its tasks go on where they can't be seen
+		id := s.job(func(r *api.Run, d *time.Duration) { r.Shape, r.Pieces, *d = api.Ensemble, 3, 5*time.Minute })
+		s.job(func(r *api.Run, d *time.Duration) { r.Rank, r.Pieces, *d = "idle", 2, 5*time.Minute }) // has room to be taken
+		for range 60 {
+			s.round()
+		}
+		for _, h := range s.w.Cloud.Names() {
+			if s.hostsOf(id)[h] == 2 {
+				s.w.Cloud.Hosts[h].Cut = true
+			}
+		}
+		for range 60 {
+			s.round()
+		}
+	}
+	withdrawGang := func(s *sim) {
+		s.w.CancelS = 16 * time.Second
+		for _, n := range s.nodes {
+			if f := &n.c.cfg.Facts.Workers; f.CancelS == 40 {
+				f.CancelS = 16
+			}
+		}
+		id := s.job(func(r *api.Run, d *time.Duration) {
+			r.Shape, r.Pieces, r.Site, *d = api.Ensemble, 4, "y", 5*time.Minute
+		})
+		for range 60 {
+			s.round()
+		}
+		s.cutZone("y")
+		s.round()
+		s.cancel(0, id)
+		for range 60 {
+			s.round()
+		}
+	}
+	crowdGangs := func(s *sim) {
+		for range 4 {
+			s.job(func(r *api.Run, d *time.Duration) { r.Owner, r.Shape, r.Pieces, *d = "a", api.Ensemble, 3, time.Minute })
+		}
+		for range 80 {
+			s.round()
+		}
+	}
 	for _, x := range []struct {
 		rule   string
 		mutate func(c *Controller)
 		day    func(*sim)
 	}{
+		{"ran_twice", func(c *Controller) { c.cfg.Facts.Workers.LeaseS = 4 }, cutGang},
+		{"ran_cancelled", func(c *Controller) { c.cfg.Facts.Workers.CancelS = 30 }, withdrawGang},
+		{"quota", func(c *Controller) { c.cfg.Facts.Teams[0].GPUsMax = 9 }, crowdGangs},
 		{"ran_twice", func(c *Controller) { c.cfg.Facts.Workers.LeaseS = 4 }, cut},
 		{"ran_twice", func(c *Controller) { c.cfg.Facts.Workers.LeaseS = 4 }, hang},
 		{"ran_cancelled", func(c *Controller) { c.cfg.Facts.Workers.CancelS = 30 }, withdraw},
--- /dev/null
+++ b/internal/controller/gangs_test.go
@@ -0,0 +1,270 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"violetturn/internal/api"
+	"violetturn/internal/job"
+	"violetturn/internal/sched"
+	"violetturn/internal/standin"
+)
+
+// gang submits one to a world where room for it is up.
+func (s *sim) gang(t *testing.T, change func(*api.Run, *time.Duration)) string {
+	t.Helper()
+	id := s.job(func(r *api.Run, d *time.Duration) {
+		r.Shape, r.Pieces, r.GPUs, r.CPUs, r.MemGB = api.Ensemble, 4, 1, 1, 4
+		*d = 30 * time.Second
+		if change != nil {
+			change(r, d)
+		}
+	})
+	if !s.w.Jobs[id].Told {
+		t.Fatal("not accepted")
+	}
+	return id
+}
+
+// holder gives a machine that has a task of the job.
+func (s *sim) holder(id string) *standin.Worker {
+	for _, h := range s.w.Cloud.Names() {
+		for _, p := range s.w.Cloud.Hosts[h].Report().Pieces {
+			if uid, _, _ := api.SplitPiece(p.Piece); uid == id {
+				return s.w.Cloud.Hosts[h]
+			}
+		}
+	}
+	return nil
+}
+
+// phases counts a job's tasks by what their workers say.
+func (s *sim) phases(id, phase string) int {
+	n := 0
+	for _, x := range s.w.Cloud.Hosts {
+		for _, p := range x.Report().Pieces {
+			if uid, _, _ := api.SplitPiece(p.Piece); uid == id && p.Phase == phase {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// A gang of one, one that several parts hold together, and one whose tasks take several
+// records each start all at once under one number, and end at once.
+func TestGangsRunTogether(t *testing.T) {
+	for _, n := range []int{1, 4, 60} {
+		s := warmSim()
+		id := s.gang(t, func(r *api.Run, _ *time.Duration) {
+			if r.Pieces = n; n > 4 {
+				r.GPUs, r.CPUs = 0, 0.5
+			}
+		})
+		s.rounds(t, 300, "all run", func() bool {
+			on := s.phases(id, api.Running)
+			if on != 0 && on != n {
+				t.Fatalf("%d of %d run", on, n)
+			}
+			return on == n
+		})
+		s.rounds(t, 200, "done", s.done(id))
+		s.rounds(t, 40, "its records are gone", func() bool {
+			c := s.nodes[0].c
+			return c.m.jobs[id] == nil && len(c.m.recs[id]) == 0
+		})
+	}
+}
+
+// While a gang gathers one of its machines is lost: the others wait for a replacement
+// under the same number, and the lost task is surely dead before that starts.
+func TestGatheringGangGetsReplacement(t *testing.T) {
+	s := warmSim()
+	s.w.GangWait = 25 * time.Second
+	for _, n := range s.nodes {
+		n.c.cfg.Facts.Workers.GangWaitS = 25
+	}
+	other := s.gang(t, func(_ *api.Run, d *time.Duration) { *d = 2 * time.Second }) // machines for all are up
+	s.rounds(t, 300, "done", s.done(other))
+	s.w.Flavor.Pull = 6 * time.Second
+	id := s.gang(t, nil)
+	s.rounds(t, 40, "some have been launched", func() bool { return s.phases(id, api.Pulling) == 4 })
+	s.w.Cloud.Kill(s.holder(id).Host)
+	s.rounds(t, 100, "all run", func() bool { return s.phases(id, api.Running) == 4 })
+	if g := s.nodes[0].c.m.jobs[id].main.Gang; g.Try != 1 {
+		t.Fatalf("runs as attempt %d", g.Try)
+	}
+	s.rounds(t, 200, "done", s.done(id))
+}
+
+// A running gang loses a machine: the attempt is over as a whole, and the next one goes
+// on from the last checkpoint when all of the old one is surely gone.
+func TestRunningGangLosesMachine(t *testing.T) {
+	for _, how := range []string{"killed", "hangs", "cut"} {
+		s := warmSim()
+		id := s.gang(t, func(r *api.Run, _ *time.Duration) { r.BookmarkS, r.StowS, r.Together = 5, 1, true })
+		s.rounds(t, 300, "all run", func() bool { return s.phases(id, api.Running) == 4 })
+		for range 20 {
+			s.round()
+		}
+		x := s.holder(id)
+		switch how {
+		case "killed":
+			s.w.Cloud.Kill(x.Host)
+		case "hangs":
+			x.Hung = true
+		case "cut":
+			x.Cut = true
+		}
+		s.rounds(t, 400, how+": a later attempt runs", func() bool {
+			j := s.nodes[0].c.m.jobs[id]
+			return j != nil && j.main.Gang.Try > 1 && s.phases(id, api.Running) == 4
+		})
+		s.rounds(t, 300, "done", s.done(id))
+	}
+}
+
+// A gang told to make room for work of higher rank saves its progress as a whole, and
+// later goes on from there.
+func TestPreemptedGangSaves(t *testing.T) {
+	s := warmSim()
+	id := s.gang(t, func(r *api.Run, d *time.Duration) { r.Rank, r.BookmarkS, r.StowS, *d = "idle", 100, 1, 40*time.Second })
+	s.rounds(t, 300, "all run", func() bool { return s.phases(id, api.Running) == 4 })
+	for range 20 {
+		s.round()
+	}
+	s.w.Cloud.Full = true
+	s.job(func(r *api.Run, _ *time.Duration) { r.Rank, r.Pieces, r.Shape = "production", 4, api.Sweep })
+	saved := false
+	s.rounds(t, 100, "the gang has left", func() bool {
+		for _, x := range s.w.Cloud.Hosts {
+			for _, p := range x.Report().Pieces {
+				uid, _, _ := api.SplitPiece(p.Piece)
+				saved = saved || uid == id && p.Phase == api.Ended && p.Saved
+			}
+		}
+		return s.phases(id, api.Running) == 0
+	})
+	if !saved {
+		t.Fatal("its progress was lost")
+	}
+	s.w.Cloud.Full = false
+	s.rounds(t, 400, "done", s.done(id))
+}
+
+// A gang that holds only some of its room gives it back after too many misses, and what
+// is held when its user cancels is free at once, without a word from the machines.
+func TestHeldRoomIsFreed(t *testing.T) {
+	s := warmSim()
+	c := s.nodes[0].c
+	warm := s.job(func(r *api.Run, d *time.Duration) { r.Pieces, *d = 4, 2*time.Second })
+	s.rounds(t, 300, "done", s.done(warm))
+	hold := func(withdraw bool) {
+		id := s.gang(t, func(r *api.Run, _ *time.Duration) { r.Pieces, r.GPUs, r.Owner = 300, 1, "b" })
+		j := c.m.jobs[id]
+		var host *sched.Host
+		for _, h := range c.hosts(c.now()) {
+			if h.Part == "n0" {
+				host = h
+			}
+		}
+		if host == nil {
+			t.Fatal("no machine of its own part")
+		}
+		c.mu.Lock()
+		tx, _, _ := c.gangTxn(&gangClaim{id, []placement{{id, 0, 0, host, nil}}}, c.now())
+		c.mu.Unlock()
+		if tx == nil {
+			t.Fatal("nothing claimed")
+		}
+		if done, _, err := c.commit(t.Context(), "gangs", tx, 0); !done {
+			t.Fatal(err)
+		}
+		if p := j.gangPhase(); p != job.GangHolding {
+			t.Fatalf("is %s", p)
+		}
+		if withdraw {
+			s.cancel(0, id)
+			c.gangRound(t.Context())
+			if n := j.placed(); n != 0 {
+				t.Fatalf("%d places are held after the cancellation", n)
+			}
+			return
+		}
+		s.rounds(t, 40, "released", func() bool { return j.placed() == 0 })
+		if !c.released(id) {
+			t.Fatal("does not go before newer ones")
+		}
+		for _, x := range s.w.Cloud.Hosts {
+			for _, p := range x.Report().Pieces {
+				if uid, _, _ := api.SplitPiece(p.Piece); uid == id {
+					t.Fatal("a task was started without the others")
+				}
+			}
+		}
+		s.cancel(0, id)
+	}
+	hold(true)
+	hold(false)
+}
+
+// Once one task is done all are, whatever becomes of their machines and of the part's
+// owner: nothing is started again, and nobody calls the job anything else.
+func TestDoneGangStaysDone(t *testing.T) {
+	s := warmSim()
+	id := s.gang(t, func(r *api.Run, d *time.Duration) { r.Together, *d = true, 8*time.Second })
+	s.rounds(t, 300, "all run", func() bool { return s.phases(id, api.Running) == 4 })
+	x := s.holder(id)
+	s.rounds(t, 60, "its tasks are done", func() bool { return s.phases(id, api.Running) == 0 })
+	s.w.Cloud.Kill(x.Host)
+	s.nodes[0].up = false
+	for range 6 {
+		s.round()
+	}
+	s.start(0)
+	s.rounds(t, 100, "done", s.done(id))
+	for range 40 {
+		s.round()
+		if n := s.phases(id, api.Running) + s.phases(id, api.Gathering); n > 0 {
+			t.Fatalf("%d tasks of a done gang run", n)
+		}
+	}
+}
+
+// What a newer worker says in words that this version doesn't have is read as the
+// safest: a task that runs, an end without success.
+func TestUnknownWords(t *testing.T) {
+	if exitOf("melted") != job.ExitLost || api.KnownCause("melted") || api.KnownPhase("melting") {
+		t.Fatal("an unknown word is taken for a known one")
+	}
+	for _, how := range []string{api.CauseMates, api.CauseAlone} {
+		g := &job.Gang{Try: 1, Go: true}
+		if g.Ended(1, exitOf(how), true); !g.Over {
+			t.Fatalf("goes on after %s", how)
+		}
+	}
+}
+
+// Two gangs that each find half of what they need don't block one another, and a large
+// one begins under a stream of small ones.
+func TestGangsDontBlockOneAnother(t *testing.T) {
+	s := warmSim()
+	first := s.gang(t, func(r *api.Run, d *time.Duration) { r.Pieces, *d = 8, 3*time.Second })
+	second := s.gang(t, func(r *api.Run, d *time.Duration) { r.Pieces, *d = 8, 3*time.Second })
+	s.rounds(t, 400, "the first", s.done(first))
+	s.rounds(t, 400, "the second", s.done(second))
+	s.w.Cloud.Full = true // what there is has to do
+	large := s.gang(t, func(r *api.Run, d *time.Duration) { r.Pieces, *d = 8, 3*time.Second })
+	k := 0
+	s.rounds(t, 480, "the large one", func() bool {
+		if k++; k%6 == 0 {
+			id := fmt.Sprintf("run-%06d", 1000+k)
+			r := s.w.Jobs[large].Run
+			r.UID, r.Pieces = id, 2
+			s.w.Jobs[id] = &standin.Job{Run: r, RunTime: 6 * time.Second, Done: map[int]bool{}}
+			s.submit(0, id)
+		}
+		return s.done(large)()
+	})
+}
