--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -72,6 +72,42 @@
 	}
 }
 
+// Coming limits are checked like today's. What they don't name stays, and nothing is
+// made larger than both allow.
+func TestComingLimits(t *testing.T) {
+	with := func(next string) (*Settings, error) {
+		return Parse([]byte(strings.Replace(good, "[facts.cloud]", "[facts.state.next]\n"+next+"\n[facts.cloud]", 1)))
+	}
+	for field, next := range map[string]string{
+		"facts.state.next.txn_ops":   "txn_ops = 0",
+		"facts.state.next.value_kb":  "value_kb = -1.0",
+		"facts.state.next.write_rps": "write_rps = 0.0",
+		"facts.state.next.rps":       "rps = inf",
+		"not valid":                  "txn_ops = \"x\"",
+	} {
+		if _, err := with(next); err == nil || !strings.HasPrefix(err.Error(), field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+	if _, err := with("txn_ops = 3"); err == nil {
+		t.Error("too few changes for a step that can't be divided")
+	}
+	for next, want := range map[string]StateLimits{
+		"":                               {120, 25, 4, 8},
+		"value_kb = 2.0\ntxn_ops = 4":    {120, 25, 2, 4},
+		"write_rps = 18.0":               {120, 18, 4, 8},
+		"value_kb = 64.0\ntxn_ops = 200": {120, 25, 4, 8},
+	} {
+		s, err := with(next)
+		if err != nil || s.Lowest() != want {
+			t.Errorf("%q: %v, %v", next, s, err)
+		}
+	}
+	if s, err := Parse([]byte(good)); err != nil || s.Facts.State.Next != nil || s.Lowest() != (StateLimits{120, 25, 4, 8}) {
+		t.Error("no change is coming", err)
+	}
+}
+
 // What an owner may do without the state service ends in time for a
 // cancellation that it can't see, whatever the settings.
 func TestGraceLeavesCancellationsTime(t *testing.T) {
--- /dev/null
+++ b/internal/controller/limits_test.go
@@ -0,0 +1,184 @@
+package controller
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"violetturn/internal/api"
+	"violetturn/internal/config"
+	"violetturn/internal/part"
+	"violetturn/internal/standin"
+)
+
+// grown makes a world of the version in production under limits that let it write
+// large records, and the coming ones far smaller.
+func grown(t *testing.T) *sim {
+	t.Helper()
+	s := newSim()
+	s.limits(16, 20, 2, 4)
+	for i := range s.nodes {
+		s.nodes[i].old = true
+		s.start(i)
+	}
+	for range 10 {
+		s.round()
+	}
+	return s
+}
+
+// limits sets the state service's limits, today's and the coming ones, for controllers
+// that are started from now on.
+func (s *sim) limits(kb float64, ops int, nextKB float64, nextOps int) {
+	s.state = config.StateLimits{RPS: 120, WriteRPS: 25, ValueKB: kb, TxnOps: ops}
+	s.next = config.StateLimits{RPS: 120, WriteRPS: 18, ValueKB: nextKB, TxnOps: nextOps}
+}
+
+// upgrade brings all controllers back new, one after the other.
+func (s *sim) upgrade() {
+	for i, n := range s.nodes {
+		n.old = false
+		s.start(i)
+		for range 6 {
+			s.round()
+		}
+	}
+}
+
+// fall brings the limits of the state service down.
+func (s *sim) fall() {
+	s.w.Store.Ops, s.w.Store.ValueB = s.next.TxnOps, int(s.next.ValueKB*1024)
+}
+
+// Jobs that the version in production recorded for large values run on, are cancelled
+// and done when the limits come down the moment after the last controller is new: their
+// records are divided, and no transaction is sent in a refused form for ever.
+func TestLimitsFallOnLargeRecords(t *testing.T) {
+	s := grown(t)
+	small := func(r *api.Run) { r.GPUs, r.CPUs, r.MemGB = 0, 0.05, 0.05 }
+	inside := s.job(func(r *api.Run, d *time.Duration) { small(r); r.Pieces, *d = 120, time.Minute })
+	chunked := s.job(func(r *api.Run, d *time.Duration) { small(r); r.Pieces, *d = 450, 90*time.Second })
+	withdrawn := s.job(func(r *api.Run, d *time.Duration) { small(r); r.Pieces, r.Shape = 110, api.Daemon })
+	s.rounds(t, 200, "all run", func() bool {
+		return s.running(inside) == 120 && s.running(withdrawn) == 110 && s.running(chunked) == 450
+	})
+	large := 0
+	for _, it := range s.w.Store.Items(live) {
+		if len(it.Value) > int(s.next.ValueKB*1024) {
+			large++
+		}
+	}
+	if large < 3 {
+		t.Fatalf("%d records are larger than the coming limit", large)
+	}
+	s.upgrade()
+	s.fall()
+	s.rounds(t, 60, "cancelled", func() bool {
+		s.cancel(1, withdrawn)
+		return s.w.Jobs[withdrawn].Phase == api.Withdrawn
+	})
+	s.rounds(t, 900, "done", s.done(inside))
+	s.rounds(t, 900, "done", s.done(chunked))
+	s.rounds(t, 400, "no large record of a job is left", func() bool {
+		return !slices.ContainsFunc(s.w.Store.Items(live), func(it standin.Item) bool {
+			return len(it.Value) > int(s.next.ValueKB*1024) && it.Key[:len(jobKey)] != pageKey
+		})
+	})
+	if s.w.Store.Large > 20 {
+		t.Fatalf("%d transactions were refused for their size", s.w.Store.Large)
+	}
+}
+
+// While the limits are still today's, large records are divided in the background.
+func TestLargeRecordsAreDividedBeforehand(t *testing.T) {
+	s := grown(t)
+	id := s.job(func(r *api.Run, d *time.Duration) {
+		r.GPUs, r.CPUs, r.MemGB, r.Pieces, r.Shape = 0, 0.05, 0.05, 120, api.Daemon
+	})
+	s.rounds(t, 100, "all run", func() bool { return s.running(id) == 120 })
+	s.upgrade()
+	s.rounds(t, 200, "divided", func() bool { return s.nodes[0].c.m.jobs[id].main.Gen == 1 })
+	for range 60 {
+		s.round()
+		if n := s.running(id); n != 120 {
+			t.Fatalf("%d of its tasks run", n)
+		}
+	}
+	if s.fall(); s.w.Store.Large > 0 {
+		t.Fatal("something was refused for its size")
+	}
+}
+
+// Machines recorded in pages of a hundred are forgotten, and others recorded, when
+// values have room for ten; a fine page speaks for its machines before a coarse one.
+func TestPagesGrowFiner(t *testing.T) {
+	s := grown(t)
+	id := s.job(func(r *api.Run, d *time.Duration) { r.Pieces, r.Shape, r.CPUs = 30, api.Daemon, 1 })
+	s.rounds(t, 200, "all run", func() bool { return s.running(id) == 30 })
+	s.upgrade()
+	s.fall()
+	s.cancel(0, id)
+	s.rounds(t, 400, "all machines have gone and are forgotten", func() bool {
+		return len(s.w.Cloud.Hosts) == 0 && len(s.nodes[0].c.m.hosts) == 0
+	})
+	s.rounds(t, 400, "their pages are gone", func() bool { return len(s.nodes[0].c.m.pages) == 0 })
+	again := s.job(func(r *api.Run, d *time.Duration) { r.Pieces = 30 })
+	s.rounds(t, 400, "done", s.done(again))
+	if s.w.Store.Large > 3 {
+		t.Fatalf("%d transactions were refused for their size", s.w.Store.Large)
+	}
+}
+
+// A machine whose coarse page a late write of the version before changes after a fine
+// one has taken over stays as the fine one says.
+func TestFinePageHidesCoarse(t *testing.T) {
+	s := newSim()
+	m := s.nodes[0].c.m
+	page := func(id string, stamp uint64, hosts ...string) {
+		p := part.Page{}
+		for _, h := range hosts {
+			p[h] = &part.Machine{Part: id, Build: "m"}
+		}
+		m.apply(pageKey+id, api.JSON(p), stamp)
+	}
+	page("i-0002-", 1, "i-000231", "i-000232", "i-000247")
+	page("i-00023-", 2, "i-000231")
+	if m.hosts["i-000231"].Part != "i-00023-" || m.hosts["i-000232"] != nil || m.hosts["i-000247"] == nil || !m.gone["i-000232"] {
+		t.Fatal(m.hosts)
+	}
+	page("i-0002-", 3, "i-000232", "i-000239", "i-000247")
+	if m.hosts["i-000232"] != nil || m.hosts["i-000239"] != nil || len(m.hosts) != 2 {
+		t.Fatal("a late write brings machines back", m.hosts)
+	}
+	m.apply(pageKey+"i-0002-", nil, 4)
+	if len(m.hosts) != 1 || m.hosts["i-000231"] == nil {
+		t.Fatal(m.hosts)
+	}
+}
+
+// A part whose room no longer fits its record is used as a whole by its owner: peers
+// see the machines with most room only.
+func TestTrimmedPartServesAllItsMachines(t *testing.T) {
+	s := newSim()
+	s.limits(1, 8, 1, 4)
+	for i := range s.nodes {
+		s.start(i)
+	}
+	for range 10 {
+		s.round()
+	}
+	for k := range 3 {
+		s.job(func(r *api.Run, d *time.Duration) {
+			r.Shape, r.Pieces, r.Site, r.CPUs, r.Bundle = api.Daemon, 120, "x", 0.5+0.001*float64(k), fmt.Sprint(k)
+		})
+	}
+	n := 0
+	s.rounds(t, 400, "all run", func() bool {
+		n = 0
+		for _, id := range s.uids {
+			n += s.running(id)
+		}
+		return n == 360
+	})
+}
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -131,12 +131,8 @@
 	for id, page := range pages {
 		c.closePage(t, id, page)
 	}
-	if len(names) == 0 && c.upgraded() {
-		if id, stamp := c.outdated(); id != "" { // finer ones have taken its place
-			t.guard(pageKey+id, stamp)
-			t.drop(pageKey + id)
-			c.forgotAt = now
-		}
+	if len(names) == 0 && c.upgraded() && c.outdated(t) {
+		c.forgotAt = now
 	}
 	c.mu.Unlock()
 	if t.ops() == 0 {
--- a/internal/controller/versions.go
+++ b/internal/controller/versions.go
@@ -132,22 +132,28 @@
 	t.write(pageKey+id, page)
 }
 
-// outdated gives a coarse page all of whose machines finer pages speak for, "" if
-// there is none. Call with the lock held.
-func (c *Controller) outdated() (string, uint64) {
+// outdated adds to a transaction the drop of a page that says nothing more: a coarse
+// one all of whose machines finer pages speak for, or an empty one that hid one. It
+// tells whether there was one. Call with the lock held.
+func (c *Controller) outdated(t *txn) bool {
 	for id, p := range c.m.pages {
-		over := p.v != nil && len(*p.v) > 0
+		over := true
 		for h := range *p.v {
-			if id != pageID(h, coarse) || c.m.pages[pageID(h, 1)].v == nil {
-				over = false
-				break
-			}
+			over = over && id == pageID(h, coarse) && c.m.pages[pageID(h, 1)].v != nil
+		}
+		if len(*p.v) == 0 && len(id) > 2 {
+			above := id[:len(id)-2] + "-"
+			t.guard(pageKey+above, 0)
+			over = c.m.pages[above].v == nil
 		}
 		if over {
-			return id, p.stamp
+			t.guard(pageKey+id, p.stamp)
+			t.drop(pageKey + id)
+			return true
 		}
+		clear(t.guards)
 	}
-	return "", 0
+	return false
 }
 
 // tooLarge notes that the state service refused a transaction for its size or count:
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -37,6 +37,8 @@
 	refuse  bool   // connections between controllers are refused
 	fell    bool   // the state service has its coming limits
 	log     *slog.Logger
+
+	state, next config.StateLimits // of the state service
 }
 
 func (s *sim) zone(i int) string { return s.w.Zones[i%len(s.w.Zones)] }
@@ -103,8 +105,6 @@
 	f.Size, f.Zones = len(names), zones
 	f.Workers.ReportS, f.Workers.LeaseS, f.Workers.CancelS = 1, 9, 40
 	f.Workers.GangWaitS, f.Workers.GangPeerS = 12, 3
-	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = 120, 25, 4, 8
-	f.State.Next = &config.StateLimits{RPS: 120, WriteRPS: 18, ValueKB: 2, TxnOps: 4}
 	f.Cloud.RPS, f.Cloud.ListLagS = 8, 2
 	f.Limits.MemoryMB, f.Limits.MaxSockets = 100, 900
 	for _, t := range []string{"a", "b"} {
@@ -120,7 +120,8 @@
 	w.Lease, w.CancelS, w.Lag = 9*time.Second, 40*time.Second, 2*time.Second
 	w.GangWait, w.GangPeer = 12*time.Second, 3*time.Second
 	w.Limits = map[string]float64{"a": 5}
-	s := &sim{w: w, answers: map[string]*inFlight{}, log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	s := &sim{w: w, state: config.StateLimits{RPS: 120, WriteRPS: 25, ValueKB: 4, TxnOps: 8}, next: config.StateLimits{RPS: 120, WriteRPS: 18, ValueKB: 2, TxnOps: 4},
+		answers: map[string]*inFlight{}, log: slog.New(slog.NewTextHandler(io.Discard, nil))}
 	if os.Getenv("SIM_LOG") != "" {
 		s.log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
 	}
@@ -136,6 +137,8 @@
 	n := s.nodes[i]
 	names := []string{"n0", "n1", "n2"}
 	cfg := settings(i, names, s.w.Zones, s.w.Limits)
+	next := s.next
+	cfg.Facts.State.StateLimits, cfg.Facts.State.Next = s.state, &next
 	if n.old {
 		cfg.Facts.State.Next = nil
 	}
@@ -489,8 +492,7 @@
 				t.Skip("not yet")
 			}
 			s.fell = true
-			l := s.nodes[0].c.cfg.Lowest()
-			s.w.Store.Ops, s.w.Store.ValueB = l.TxnOps, int(l.ValueKB*1024)
+			s.fall()
 		},
 		"restart": func(t *rapid.T) { s.start(node(t)) },
 		"outage":  func(t *rapid.T) { s.w.Store.Down = !s.w.Store.Down },
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -40,6 +40,24 @@
 	late   []*store.Txn
 }
 
+// Item is a key as it stands.
+type Item struct {
+	Key   string
+	Value json.RawMessage
+}
+
+// Items lists the keys with a prefix.
+func (s *Store) Items(prefix string) []Item {
+	var out []Item
+	for k, it := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, Item{k, it.v})
+		}
+	}
+	slices.SortFunc(out, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
+	return out
+}
+
 type item struct {
 	v      json.RawMessage
 	stamp  uint64
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -89,12 +89,22 @@
 	if _, _, _, err := c.Multi(ctx, txn, Decision); !errors.Is(err, ErrNoPermit) || !served {
 		t.Error(err)
 	}
-	for _, status := range []int{503, 429} {
+	set("/multi", 400, `{"error":"too many changes"}`)
+	if _, _, _, err := c.Multi(ctx, txn, Decision); !errors.Is(err, ErrTooLarge) {
+		t.Error(err)
+	}
+	for _, status := range []int{503, 429, 429, 429} {
+		if status == 429 && c.limits == c.next {
+			t.Error("slows down before it is refused several times")
+		}
 		set("/multi", status, `{}`)
 		if _, _, _, err := c.Multi(ctx, txn, Decision); !errors.Is(err, ErrRefused) || served != (status == 429) {
 			t.Error(status, err, served)
 		}
 	}
+	if c.limits != c.next {
+		t.Error("goes on at a rate that is refused")
+	}
 	if err := s.Stop(ctx); err != nil {
 		t.Error(err)
 	}
