--- a/internal/controller/divide.go
+++ b/internal/controller/divide.go
@@ -31,18 +31,18 @@
 	return j.main.Frozen || c.narrow[j.main.Run.UID] == j.main.Gen+1
 }
 
-// divisible tells whether a job's records take more than the coming limits allow, or
-// nearly, and can be made smaller. Call with the lock held.
+// divisible tells whether a job's records take more than the coming limits allow and can
+// be made smaller. Call with the lock held.
 func (c *Controller) divisible(j *liveJob, most int) bool {
 	m := j.main
 	if !m.Inner && m.Chunk <= job.ChunkSize(c.cfg.Lowest().ValueKB) {
 		return false
 	}
-	if j.size > most*3/4 && m.Inner {
+	if j.size > most && m.Inner {
 		return true
 	}
 	for _, ch := range j.chunks {
-		if !m.Inner && ch.size > most*3/4 {
+		if !m.Inner && ch.size > most {
 			return true
 		}
 	}
--- a/internal/controller/production_test.go
+++ b/internal/controller/production_test.go
@@ -322,7 +322,7 @@
 	r := api.Run{UID: "run-000001", Lane: "l", Owner: "b", Shape: api.Ensemble, Rank: "standard", Pieces: 4, CPUs: 4, MemGB: 1, Bundle: "i"}
 	s.w.Jobs[r.UID] = &standin.Job{Run: r, RunTime: time.Second, Done: map[int]bool{}}
 	m := &job.Main{Run: r, Part: "n1", AtMS: s.w.Now.UnixMilli()}
-	m.Fit(2, 300)
+	m.Fit(2, 300, false)
 	a := &accept{ctx: context.Background(), main: m, out: make(chan transport.Response, 1)}
 	s.nodes[0].c.acceptBatch(context.Background(), []*accept{a}) // without asking who may read it
 	for range 200 {
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -185,7 +185,10 @@
 	if size > c.valueRoom() { // room for what is added later
 		return reply(400, map[string]string{"error": "submission too long"})
 	}
-	m.Fit(c.cfg.Lowest().ValueKB, size)
+	c.mu.Lock()
+	dense := c.upgraded()
+	c.mu.Unlock()
+	m.Fit(c.cfg.Lowest().ValueKB, size, dense)
 	a := &accept{ctx: ctx, main: m, out: make(chan transport.Response, 1)}
 	if !c.enqueue(a) {
 		return errBusy
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -32,13 +32,19 @@
 }
 
 // Fit decides how the job's tasks are recorded. A job whose tasks all fit into
-// its main record needs no other one: half as many changes for it.
-func (m *Main) Fit(valueKB float64, size int) {
-	m.Chunk = ChunkSize(valueKB)
+// its main record needs no other one: half as many changes for it. dense counts with
+// names of machines as they usually are; a record that outgrows a value all the same is
+// divided, which the version in production can't do.
+func (m *Main) Fit(valueKB float64, size int, dense bool) {
+	e := entry
+	if dense {
+		e = denseEntry
+	}
+	m.Chunk = chunkOf(valueKB, e)
 	if m.Run.Shape == api.Ensemble {
 		size += gangExtra
 	}
-	if m.Run.Pieces <= m.Chunk && size+m.Run.Pieces*entry+mainExtra <= int(valueKB*1024) {
+	if m.Run.Pieces <= m.Chunk && size+m.Run.Pieces*e+mainExtra <= int(valueKB*1024) {
 		m.Inner = true
 	}
 }
@@ -46,9 +52,10 @@
 // bytes of one place at most, host names of 20 bytes included, and of what a
 // main record gets besides.
 const (
-	entry     = 80
-	mainExtra = 256
-	gangExtra = 128
+	entry      = 80
+	denseEntry = 48 // with names of ten bytes
+	mainExtra  = 256
+	gangExtra  = 128
 )
 
 // Past is what stays of a job that is over.
@@ -75,8 +82,10 @@
 
 // ChunkSize is the number of tasks in a chunk, such that its record fits a
 // value of the state service even with every task placed.
-func ChunkSize(valueKB float64) int {
-	return min(max(int(valueKB*1024)/entry/2*2, 2), 512)
+func ChunkSize(valueKB float64) int { return chunkOf(valueKB, entry) }
+
+func chunkOf(valueKB float64, e int) int {
+	return min(max(int(valueKB*1024)/e/2*2, 2), 512)
 }
 
 // Chunks is the number of chunks of the job.
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -42,7 +42,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		kb := float64(rapid.IntRange(1, 16).Draw(t, "kb"))
 		m := &Main{Run: api.Run{UID: "run-000001", Pieces: rapid.IntRange(1, 300).Draw(t, "pieces"), Bundle: string(make([]byte, rapid.IntRange(0, 500).Draw(t, "bundle")))}, Part: "node-0", AtMS: 1 << 41}
-		m.Fit(kb, len(api.JSON(m)))
+		m.Fit(kb, len(api.JSON(m)), false)
 		if !m.Inner {
 			return
 		}
