--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -34,13 +34,17 @@
 	apply(partKey+"n0", part.Record{Term: 1, By: "n0", Free: part.Free{}})
 	page := part.Page{}
 	for i := range machines {
-		page[fmt.Sprintf("i-%06d", i)] = &part.Machine{Part: "n0", Build: "m", Site: "x"}
+		host := fmt.Sprintf("i-%06d", i)
+		page[host] = &part.Machine{Part: "n0", Build: "m", Site: "x"}
+		if id := pageID(host, coarse); i == machines-1 || id != pageID(fmt.Sprintf("i-%06d", i+1), coarse) {
+			apply(pageKey+id, page)
+			page = part.Page{}
+		}
 	}
-	apply(pageKey+"i-", page)
 	run := func(id int, rank string) *job.Main {
 		m := &job.Main{Run: api.Run{UID: fmt.Sprintf("run-%06d", id), Lane: "l", Owner: "b", Shape: api.Sweep, Rank: rank, Pieces: 16,
 			CPUs: 5 + float64(id%10)/10, GPUs: 1, MemGB: 40, Bundle: fmt.Sprintf("img-%d", id%18), SizeGB: 7, GuessS: 70}, Part: "n0", AtMS: now.UnixMilli()}
-		m.Fit(64, 500)
+		m.Fit(64, 500, false)
 		return m
 	}
 	for i := 0; i < machines; i += 8 { // sixteen tasks on eight machines
--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -594,6 +594,17 @@
 	return ok
 }
 
+// atLeast tells whether every machine that is offered has the room that it is offered
+// with.
+func atLeast(now, offered part.Free) bool {
+	for h, v := range offered {
+		if r, ok := now[h]; !ok || !part.Unvec(r).Fits(part.Unvec(v)) {
+			return false
+		}
+	}
+	return true
+}
+
 // upkeepRound writes an own part's record when its machines or their room have
 // changed, at intervals: placements there write it anyway.
 func (c *Controller) upkeepRound(ctx context.Context) bool {
@@ -626,6 +637,11 @@
 		if maps.Equal(out, rec.v.Free) && maps.Equal(use, rec.v.Use) && len(shares) == 0 && (!rec.v.Doubt || !now.After(o.answered)) {
 			continue
 		}
+		// More room than the record says is news for peers only, and while own jobs wait
+		// for room they take it first: that is told less often. Less is told at once.
+		if len(shares) == 0 && now.Sub(o.kept) < 24*c.cfg.Pause() && c.waiting() && atLeast(out, rec.v.Free) {
+			continue
+		}
 		for name := range shares { // the record and as many teams' as a transaction takes
 			if len(shares) < c.limits().TxnOps {
 				break
