--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -359,10 +359,13 @@
 	}
 	l = &load{}
 	for id, pl := range c.m.onHost[host] {
+		j := c.m.jobs[pl.uid]
+		if j != nil {
+			l.newest = max(l.newest, j.main.AtMS+pl.p.AtS*1000)
+		}
 		if c.over(host, id, pl) {
 			continue
 		}
-		j := c.m.jobs[pl.uid]
 		if j == nil {
 			l.sweeps++
 			continue
--- a/internal/controller/gangs.go
+++ b/internal/controller/gangs.go
@@ -61,6 +61,24 @@
 	return !j.leaves(p) && (!isGang(j) || j.main.Gang.Starts(p.Try))
 }
 
+// gangChanges is how many changes a gang's claim takes as a rule: its main record and
+// the parts' that it is on. As many are left to gangs while there are any.
+const gangChanges = 3
+
+// keepForGangs has other decisions leave changes for gangs if some came lately. Call
+// with the lock held.
+func (c *Controller) keepForGangs(now time.Time) {
+	keep := 0.0
+	for _, l := range c.arrivals {
+		if n := len(l); n > 0 && l[n-1].run.Shape == api.Ensemble && now.Sub(l[n-1].at) < mustBegin {
+			keep = gangChanges
+		}
+	}
+	if s, ok := c.store.(interface{ Keep(float64) }); ok {
+		s.Keep(keep)
+	}
+}
+
 // gangClaim is room for all tasks of a gang that lack some.
 type gangClaim struct {
 	uid   string
@@ -159,15 +177,22 @@
 		} else {
 			soon = true
 		}
-		z := c.zonesOf(j)
-		var seats []sched.Seat
-		for _, t := range l.tasks {
-			seats = append(seats, sched.Seat{Zone: func(s string) bool { return z.ok(t.chunk, s) }, Took: func(s string) { z.add(t.chunk, s) }})
-		}
-		found := sched.Seats(parts, &a, seats)
-		sched.Unseat(found, &a)
-		if better(found, x.seats) {
-			x.seats, x.zone = found, site
+		// Part after part, or all as one: a fetch takes longer than another part's record
+		// to be changed, and the last task decides when all start.
+		for _, by := range [][][]*sched.Host{parts, {flat}} {
+			z := c.zonesOf(j)
+			var seats []sched.Seat
+			for _, t := range l.tasks {
+				seats = append(seats, sched.Seat{Zone: func(s string) bool { return z.ok(t.chunk, s) }, Took: func(s string) { z.add(t.chunk, s) }})
+			}
+			found := sched.Seats(by, &a, seats)
+			sched.Unseat(found, &a)
+			if better(found, x.seats) {
+				x.seats, x.zone = found, site
+			}
+			if sched.Missing(found) == 0 && sched.Delay(found, &a) == 0 {
+				break // as soon as can be
+			}
 		}
 	}
 	missing := sched.Missing(x.seats)
@@ -262,7 +287,7 @@
 // claimGang commits a gang's claim, in as many steps as it takes.
 func (c *Controller) claimGang(ctx context.Context, g *gangClaim) {
 	for tries := 0; len(g.seats) > 0 && tries < 3; {
-		if c.store.Ready(ctx, min(3, c.cfg.Lowest().TxnOps), store.Decision) < 2 || !c.acting() || c.newest(ctx) != nil {
+		if c.store.Ready(ctx, min(gangChanges, c.cfg.Lowest().TxnOps), store.Gang) < 2 || !c.acting() || c.newest(ctx) != nil {
 			return
 		}
 		c.mu.Lock()
@@ -271,7 +296,7 @@
 		if t == nil {
 			return
 		}
-		done, _, err := c.commit(ctx, "gangs", t, store.Decision)
+		done, _, err := c.commit(ctx, "gangs", t, store.Gang)
 		switch {
 		case done:
 			g.seats, tries = rest, 0
@@ -297,6 +322,7 @@
 	c.mu.Lock()
 	var claims []*gangClaim
 	some := false
+	c.keepForGangs(now)
 	for uid, j := range c.m.jobs {
 		if !isGang(j) || j.main.Gone || c.owned(j.main.Part) == nil || len(j.pending()) == 0 {
 			continue
@@ -356,7 +382,7 @@
 	if n == 0 || e.tight {
 		return e.tight
 	}
-	done, _, err := c.commit(ctx, "gang ends", t, store.Decision)
+	done, _, err := c.commit(ctx, "gang ends", t, store.Gang)
 	if done {
 		for _, l := range said {
 			c.log.Info("gang", l...)
@@ -474,11 +500,14 @@
 }
 
 // waitOn estimates how long a start on a machine waits for the worker's next report:
-// one whose token was raised a moment ago can't be made to report by another raise. Of
-// peers' machines nothing is known. Call with the lock held.
-func (c *Controller) waitOn(host string, now time.Time) float64 {
-	s := c.sessions[host]
-	if s != nil && !s.RaisedAt.IsZero() && now.Sub(s.RaisedAt) < c.cfg.Lease()/2 {
+// one whose token was raised a moment ago can't be made to report by another raise. On a
+// peer's machine that is so if a task was placed there. Call with the lock held.
+func (c *Controller) waitOn(host string, l *load, now time.Time) float64 {
+	raised := time.UnixMilli(l.newest)
+	if s := c.sessions[host]; s != nil {
+		raised = s.RaisedAt
+	}
+	if now.Sub(raised) < c.cfg.Lease()/2 {
 		return c.cfg.Report().Seconds() / 2
 	}
 	return 0
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -57,6 +57,7 @@
 			for _, l := range said {
 				c.log.Info("task placed", l...)
 			}
+			c.gangsFirst(ctx)
 		case err == nil: // overtaken: what lost is tried again on what there is now
 			tries++
 		default:
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -388,6 +388,7 @@
 	leaving         sched.Room    // of those of them that are on their way out
 	staying         [4]sched.Room // of the others, by rank
 	daemons, sweeps int           // tasks that are not over, by their jobs' shape
+	newest          int64         // when the last of the tasks was placed, in milliseconds of the time of day
 }
 
 // unload has the loads of machines with tasks of a job worked out anew.
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -317,7 +318,11 @@
 			t.guard(pastKey+uid, 0)
 			t.write(jobKey+uid, a.main)
 		}
-		done, failed, err := c.commit(ctx, "accepted", t, store.Submission)
+		rank := store.Submission
+		if slices.ContainsFunc(batch, func(a *accept) bool { return a.main.Run.Shape == api.Ensemble }) {
+			rank = store.Gang
+		}
+		done, failed, err := c.commit(ctx, "accepted", t, rank)
 		if done {
 			for _, a := range batch {
 				uid := a.main.Run.UID
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -68,15 +68,34 @@
 // Rank says how a request stands under load: the lower, the sooner.
 type Rank int
 
-// Ranks of requests: holds, then what reports and decisions need, then submissions.
+// Ranks of requests: holds, then gangs, all tasks of which wait for one change, then what
+// else reports and decisions need, then submissions.
 const (
 	Hold Rank = iota
+	Gang
 	Decision
 	Submission
 )
 
 // reserve is the share of the budget that a rank leaves to those above it.
-var reserve = [...]float64{0, 0.1, 0.15}
+var reserve = [...]float64{0, 0.05, 0.1, 0.15}
+
+// Keep has the ranks below gangs leave as many changes besides.
+func (c *Client) Keep(changes float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.kept = changes
+}
+
+// leave is the share of the changes that a rank leaves.
+func (c *Client) leave(r Rank) float64 {
+	if r <= Gang {
+		return reserve[r]
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return min(reserve[r]+c.kept/c.writes.Burst(), 0.5)
+}
 
 // Client talks to the state service within the controller's share of its rates.
 type Client struct {
@@ -87,6 +106,7 @@
 	limits   Limits     // as far as is known
 	next     Limits     // what they become at some moment, or are
 	among    int
+	kept     float64     // changes that lower ranks leave to gangs
 	refusals []time.Time // of changes, the last ones
 	reqs     *transport.Budget
 	writes   *transport.Budget
@@ -161,9 +181,9 @@
 // Used tells how many requests and writes were sent in all.
 func (c *Client) Used() (reqs, writes float64) { return c.reqs.Used(), c.writes.Used() }
 
-func wait(ctx context.Context, b *transport.Budget, n float64, r Rank, until time.Time) error {
+func wait(ctx context.Context, b *transport.Budget, n, leave float64, until time.Time) error {
 	for {
-		d, ok := b.Take(time.Now(), n, reserve[r])
+		d, ok := b.Take(time.Now(), n, leave)
 		if ok {
 			return nil
 		}
@@ -183,10 +203,11 @@
 // transaction that first waits for its budget is overtaken by others meanwhile.
 func (c *Client) Ready(ctx context.Context, n int, r Rank) int {
 	until := time.Now().Add(c.deadline)
-	n = min(n, int(c.writes.Burst()*(1-reserve[r])))
+	leave := c.leave(r)
+	n = min(n, int(c.writes.Burst()*(1-leave)))
 	for {
 		now := time.Now()
-		have := int(c.writes.Has(now, reserve[r]))
+		have := int(c.writes.Has(now, leave))
 		if have >= n || now.After(until) {
 			return have
 		}
@@ -201,11 +222,11 @@
 func (c *Client) do(ctx context.Context, method, target string, body any, writes int, r Rank, extra time.Duration) (*httpwire.Message, error) {
 	until := time.Now().Add(c.deadline)
 	if writes > 0 {
-		if err := wait(ctx, c.writes, float64(writes), r, until); err != nil {
+		if err := wait(ctx, c.writes, float64(writes), c.leave(r), until); err != nil {
 			return nil, err
 		}
 	}
-	if err := wait(ctx, c.reqs, 1, r, until); err != nil {
+	if err := wait(ctx, c.reqs, 1, reserve[r], until); err != nil {
 		return nil, err
 	}
 	var b []byte
