--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -377,8 +377,11 @@
 	return out
 }
 
-func randomRun(t *rapid.T, uid string) (*api.Run, time.Duration) {
-	r := &api.Run{UID: uid, Lane: "l", Owner: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "owner"), Shape: rapid.SampledFrom([]string{api.Sweep, api.Daemon, api.Ensemble}).Draw(t, "shape"),
+func randomRun(t *rapid.T, uid, shape string) (*api.Run, time.Duration) {
+	if shape == "" {
+		shape = rapid.SampledFrom([]string{api.Sweep, api.Daemon, api.Ensemble}).Draw(t, "shape")
+	}
+	r := &api.Run{UID: uid, Lane: "l", Owner: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "owner"), Shape: shape,
 		Rank: rapid.SampledFrom([]string{"production", "standard", "idle"}).Draw(t, "rank"), CPUs: 1, GPUs: 1, MemGB: 4, Bundle: "img", SizeGB: 1}
 	r.Pieces = rapid.IntRange(1, 5).Draw(t, "pieces")
 	if r.Shape == api.Sweep && rapid.IntRange(0, 5).Draw(t, "large") == 0 {
@@ -427,16 +430,18 @@
 		}
 		return rapid.SampledFrom(s.uids).Draw(t, "job")
 	}
-	submitNew := func(t *rapid.T) {
-		if len(s.uids) >= 12 {
+	submitOf := func(t *rapid.T, shape string) {
+		if len(s.uids) >= 16 {
 			t.Skip("enough jobs")
 		}
 		id := fmt.Sprintf("run-%06d", len(s.uids))
-		run, d := randomRun(t, id)
+		run, d := randomRun(t, id, shape)
 		s.w.Jobs[id] = &standin.Job{Run: *run, RunTime: d, Done: map[int]bool{}}
 		s.uids = append(s.uids, id)
 		s.submit(node(t), id)
 	}
+	submitNew := func(t *rapid.T) { submitOf(t, "") }
+	submitGang := func(t *rapid.T) { submitOf(t, api.Ensemble) }
 	rounds := func(t *rapid.T) {
 		for range rapid.IntRange(1, 8).Draw(t, "rounds") {
 			s.round()
@@ -451,13 +456,22 @@
 		},
 		"submit":  submitNew,
 		"submit2": submitNew,
-		"round":   rounds,
-		"round2":  rounds,
-		"round3":  rounds,
-		"again":   func(t *rapid.T) { s.submit(node(t), uid(t)) },
-		"poll":    func(t *rapid.T) { s.poll(node(t), uid(t)) },
-		"cancel":  func(t *rapid.T) { s.cancel(node(t), uid(t)) },
-		"step":    func(t *rapid.T) { s.step(node(t)) },
+		"gang":    submitGang,
+		"gang2":   submitGang,
+		"round4":  rounds,
+		"round5":  rounds,
+		"round6": func(t *rapid.T) { // long enough for machines to boot and tasks to end
+			for range rapid.IntRange(8, 40).Draw(t, "rounds") {
+				s.round()
+			}
+		},
+		"round":  rounds,
+		"round2": rounds,
+		"round3": rounds,
+		"again":  func(t *rapid.T) { s.submit(node(t), uid(t)) },
+		"poll":   func(t *rapid.T) { s.poll(node(t), uid(t)) },
+		"cancel": func(t *rapid.T) { s.cancel(node(t), uid(t)) },
+		"step":   func(t *rapid.T) { s.step(node(t)) },
 		"report": func(t *rapid.T) {
 			s.report(host(t), reportFault(rapid.IntRange(0, 3).Draw(t, "fault")))
 		},
@@ -623,13 +637,20 @@
 func TestRulesHoldUnderTrouble(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSim()
-		if rapid.Bool().Draw(t, "production") { // the version in production runs when the day begins
-			for i, n := range s.nodes {
-				n.old = true
-				s.start(i)
-			}
+		// The version in production runs when the day begins, or all are new, or the
+		// limits have come down too.
+		s.limits(8, 8, 1, 4)
+		begin := rapid.SampledFrom([]string{"production", "new", "fallen"}).Draw(t, "begin")
+		for i, n := range s.nodes {
+			n.old = begin == "production"
+			s.start(i)
+		}
+		switch begin {
+		case "fallen":
+			s.fell = true
+			s.fall()
 		}
-		for range 4 {
+		for range 10 {
 			s.round()
 		}
 		t.Repeat(s.trouble(t))
