--- a/internal/standin/gangs.go
+++ b/internal/standin/gangs.go
@@ -22,6 +22,7 @@
 	stopped time.Time     // when the first task was told to stop and save
 	told    map[int]bool
 	over    bool
+	cause   string // why
 }
 
 // mates gives the tasks of an attempt that are on machines.
@@ -68,6 +69,14 @@
 		return
 	}
 	if run.over {
+		// A machine that forgot its tasks with its lease may start them once more under
+		// the same number, when an owner that can't know it takes them for never started.
+		for i, t := range tasks { // one that stood still goes on, and sees that it is over
+			if t.phase == api.Running && !on[i].Hung {
+				t.phase, t.cause = api.Ended, run.cause
+			}
+		}
+		w.gather(j, try, tasks, on)
 		return
 	}
 	stop := w.Now
@@ -86,7 +95,7 @@
 		return max(j.gang.saved, progress/b*b)
 	}
 	end := func(cause string, saved bool) {
-		run.over = true
+		run.over, run.cause = true, cause
 		for i, t := range tasks {
 			if !on[i].Hung {
 				t.phase, t.cause, t.saved = api.Ended, cause, saved
