--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -76,6 +76,7 @@
 	parts   []string // all parts, by name of their home controller
 
 	wake    chan struct{} // the decider has something to do
+	newGang chan struct{} // a gang has been accepted
 	orphans chan struct{} // a part has no owner
 	fencing chan struct{} // bounds fences under way
 	nudging chan struct{} // bounds nudges under way: fences of machines that are cut off must not hold them up
@@ -179,7 +180,7 @@
 // newController makes a controller without its outside systems.
 func newController(cfg *config.Settings, policy *config.Policy, log *slog.Logger) *Controller {
 	c := &Controller{cfg: cfg, policy: policy, log: log, now: time.Now, spawn: func(f func()) { go f() }, inc: rand.Uint64() >> 12, rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		wake: make(chan struct{}, 1), orphans: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), newGang: make(chan struct{}, 1), orphans: make(chan struct{}, 1),
 		fencing: make(chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/16)), nudging: make(chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/32)), users: make(chan struct{}, 128),
 		mine: map[string]*ownPart{}, sessions: map[string]*part.Session{}, absent: map[string]time.Time{}, homeUp: map[string]time.Time{},
 		sharers: cfg.Facts.Size, away: map[string]time.Time{}, refused: map[string]refusal{}, past: map[string]job.Past{}, adopt: map[string]part.Machine{},
@@ -203,7 +204,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){c.holdLoop, c.watchLoop, c.decideLoop, c.cloudLoop, c.peerLoop, c.summaryLoop} {
+	for _, f := range []func(context.Context){c.holdLoop, c.watchLoop, c.decideLoop, c.gangLoop, c.cloudLoop, c.peerLoop, c.summaryLoop} {
 		wg.Go(func() { f(ctx) })
 	}
 	select {
--- a/internal/controller/gangs.go
+++ b/internal/controller/gangs.go
@@ -307,6 +307,19 @@
 	}
 }
 
+// gangLoop places gangs as they are accepted, beside the decisions that wait for their
+// changes. What both write at once is decided by the state service.
+func (c *Controller) gangLoop(ctx context.Context) {
+	for {
+		select {
+		case <-c.newGang:
+			c.gangsFirst(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // gangsFirst places gangs that came while other decisions wait for their changes: all
 // tasks of one start with the last, so each second counts as often as it has tasks. One
 // that finds no room is not looked at again for a while out of turn.
@@ -510,7 +523,7 @@
 func (c *Controller) waitOn(host string, l *load, now time.Time) float64 {
 	raised := time.UnixMilli(l.newest)
 	if s := c.sessions[host]; s != nil {
-		raised = s.RaisedAt
+		raised = s.Announced()
 	}
 	if now.Sub(raised) < c.cfg.Lease()/2 {
 		return c.cfg.Report().Seconds() / 2
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -396,7 +396,7 @@
 		if !stop {
 			// Raises that come sooner after one another count as no change: they are
 			// kept for starts that nothing else can announce.
-			if !start || now.Sub(s.RaisedAt) < c.cfg.Lease()/2 {
+			if !start || now.Sub(s.Announced()) < c.cfg.Lease()/2 {
 				delete(c.news, host)
 				continue
 			}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -329,6 +329,12 @@
 				c.log.Info("job accepted", "job", uid, "lane", a.main.Run.Lane, "owner", a.main.Run.Owner, "rank", a.main.Run.Rank, "tasks", a.main.Run.Pieces)
 				a.out <- reply(201, map[string]string{"uid": uid, "phase": api.Pending})
 			}
+			if rank == store.Gang {
+				select {
+				case c.newGang <- struct{}{}:
+				default:
+				}
+			}
 			c.poke()
 			return
 		}
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -237,6 +237,15 @@
 // Raise raises the worker's token, which its next answer or command brings.
 func (s *Session) Raise(now time.Time) { s.Raises++; s.RaisedAt = now }
 
+// Announced is when its worker last saw a higher token from us, as far as is known: by a
+// raise, or with the term itself. Another one soon after makes it report no sooner.
+func (s *Session) Announced() time.Time {
+	if s.FencedAt.After(s.RaisedAt) {
+		return s.FencedAt
+	}
+	return s.RaisedAt
+}
+
 // Stale tells whether a report is no newer than one that came before: a copy
 // that comes late. Its sender no longer waits for an answer, and it shows
 // nothing about now, not even that the machine lives. So is one of an earlier
