--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -234,7 +234,7 @@
 		// The main record's version covers a gang's tasks and those of a job that is
 		// being divided, wherever they are recorded.
 		e.t.guard(jobKey+id.uid, j.stamp)
-		if j.main.Inner || j.main.Run.Shape == api.Ensemble {
+		if j.main.Inner || oneVersion(j) {
 			e.main(j)
 		}
 		if !j.main.Inner {
@@ -245,6 +245,14 @@
 	return ch
 }
 
+// oneVersion tells whether the main record is written with every change of the job's
+// tasks, so that its version is that of all of them: of a gang, and of a scattered job
+// that was divided, whose zones are counted over several chunks. A transaction that is
+// carried out late would otherwise place a task by an old count.
+func oneVersion(j *liveJob) bool {
+	return isGang(j) || j.main.Half > 0
+}
+
 // cost is how many changes opening a chunk adds.
 func (e *edit) cost(j *liveJob, n int) int {
 	uid := j.main.Run.UID
@@ -255,7 +263,7 @@
 	if !j.main.Inner {
 		k++
 	}
-	if (j.main.Inner || j.main.Run.Shape == api.Ensemble) && e.mains[uid] == nil {
+	if (j.main.Inner || oneVersion(j)) && e.mains[uid] == nil {
 		k++
 	}
 	return k
--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -8,6 +8,7 @@
 
 	"violetturn/internal/api"
 	"violetturn/internal/config"
+	"violetturn/internal/job"
 	"violetturn/internal/part"
 	"violetturn/internal/standin"
 )
@@ -182,3 +183,33 @@
 		return n == 360
 	})
 }
+
+// A scattered job that is divided keeps half of its tasks out of each zone: its smaller
+// chunks may each have all of their tasks in one, so they are counted together. Counted
+// apart they once let too many into a zone.
+func TestDividedJobStaysScattered(t *testing.T) {
+	m := &job.Main{Chunk: 8}
+	m.Run.Pieces, m.Run.Scatter = 8, true
+	c := (*job.Chunk)(nil).Copy()
+	j := &liveJob{main: m, chunks: map[int]value[job.Chunk]{0: {v: c}}}
+	z := &zones{j: j, count: map[int]map[string]int{}}
+	for range 4 {
+		z.add(0, "x")
+	}
+	if z.ok(0, "x") {
+		t.Fatal("more than half in a zone")
+	}
+	m.Divide(2)
+	z = &zones{j: j, count: map[int]map[string]int{}}
+	for _, chunk := range []int{0, 0, 1, 1} {
+		z.add(chunk, "x")
+	}
+	for chunk := range 4 {
+		if z.ok(chunk, "x") || !z.ok(chunk, "y") {
+			t.Fatalf("chunk %d of the divided job: x %t, y %t", chunk, z.ok(chunk, "x"), z.ok(chunk, "y"))
+		}
+	}
+	if !oneVersion(j) {
+		t.Fatal("a late transaction could place by an old count")
+	}
+}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -334,10 +334,11 @@
 	if z.j.main.Run.Together && z.zone == "" {
 		z.zone = site
 	}
-	if z.count[chunk] == nil {
-		z.count[chunk] = map[string]int{}
+	g, _ := z.j.main.Group(chunk)
+	if z.count[g] == nil {
+		z.count[g] = map[string]int{}
 	}
-	z.count[chunk][site]++
+	z.count[g][site]++
 }
 
 func (z *zones) ok(chunk int, site string) bool {
@@ -345,7 +346,8 @@
 	if r.Together && z.zone != "" && z.zone != site {
 		return false
 	}
-	return !r.Scatter || z.count[chunk][site] < (z.j.main.ChunkLen(chunk)+1)/2
+	g, n := z.j.main.Group(chunk)
+	return !r.Scatter || z.count[g][site] < (n+1)/2
 }
 
 // least gives the smallest amounts that any waiting task asks for: a machine
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -27,6 +27,7 @@
 	// The version in production knows none of these and would lose them: they are
 	// written only once every configured controller has shown that it reads them.
 	Gen    int   `json:"n,omitempty"` // how often its tasks were divided into smaller chunks
+	Half   int   `json:"h,omitempty"` // of a scattered job that was divided: the chunk size by which its zones are counted
 	Frozen bool  `json:"x,omitempty"` // its tasks are being divided: nothing else changes them
 	Gang   *Gang `json:"e,omitempty"` // of an ensemble: how its attempt stands
 }
@@ -165,6 +166,9 @@
 // of the present size, each with a record of its own.
 func (m *Main) Divide(k int) {
 	each := m.Chunk / k
+	if m.Run.Scatter && m.Half == 0 {
+		m.Half = m.Chunk // half of one zone's tasks may be in any of the smaller chunks
+	}
 	for i := range m.Fin {
 		m.Fin[i] *= each
 	}
@@ -175,6 +179,17 @@
 	}
 }
 
+// Group tells by which group of tasks chunk n counts when a job is scattered, and how
+// many tasks the group has: of each half may be in one zone, and so half of all.
+func (m *Main) Group(n int) (group, tasks int) {
+	size := m.Chunk
+	if m.Half > 0 {
+		size = m.Half
+	}
+	g := n * m.Chunk / size
+	return g, min(size, m.Run.Pieces-g*size)
+}
+
 // Part gives the tasks from on, n of them, as a chunk of their own, nil if nothing is
 // known of them.
 func (c *Chunk) Part(from, n int) *Chunk {
