A gang looks for room in the zone where it can have some

Cause: all zones alike short of room, its own was taken and only there it preempted and rented; full of its own rank with nothing left to rent, it would have waited for ever, past the four minutes in which the largest jobs must begin. A test holds it.

--- a/internal/controller/found_test.go
+++ b/internal/controller/found_test.go
@@ -282,6 +282,25 @@
 			s.round()
 		}
 	}
+	moveGang := func(s *sim) { // all machines in the zone of one that goes together are cut off, the other has room to be taken
+		s.w.GangPeer = 20 * time.Second
+		id := s.job(func(r *api.Run, d *time.Duration) {
+			r.Shape, r.Together, r.Pieces, *d = api.Ensemble, true, 3, 5*time.Minute
+		})
+		for _, zone := range s.w.Zones {
+			s.job(func(r *api.Run, d *time.Duration) { r.Rank, r.Site, r.Pieces, *d = "idle", zone, 4, 5*time.Minute })
+		}
+		for range 60 {
+			s.round()
+		}
+		at := s.holder(id).Site
+		for _, x := range s.w.Cloud.Hosts {
+			x.Cut = x.Site == at
+		}
+		for range 60 {
+			s.round()
+		}
+	}
 	withdrawGang := func(s *sim) {
 		s.w.CancelS = 16 * time.Second
 		for _, n := range s.nodes {
@@ -316,6 +335,7 @@
 		day    func(*sim)
 	}{
 		{"ran_twice", func(c *Controller) { c.cfg.Facts.Workers.LeaseS = 4 }, cutGang},
+		{"wrong_place", func(c *Controller) { c.cfg.Facts.Workers.LeaseS = 4 }, moveGang},
 		{"ran_cancelled", func(c *Controller) { c.cfg.Facts.Workers.CancelS = 30 }, withdrawGang},
 		{"quota", func(c *Controller) { c.cfg.Facts.Teams[0].GPUsMax = 9 }, crowdGangs},
 		{"ran_twice", func(c *Controller) { c.cfg.Facts.Workers.LeaseS = 4 }, cut},
--- a/internal/controller/gangs_test.go
+++ b/internal/controller/gangs_test.go
@@ -268,3 +268,17 @@
 		return s.done(large)()
 	})
 }
+
+// A gang that goes together and finds no room looks for it in the zone where it can have
+// some: it once stuck to its own, which was full of work of its own rank and where nothing
+// was left to rent, while the other had tasks of lower rank.
+func TestGangTakesTheZoneThatYields(t *testing.T) {
+	s := warmSim()
+	for zone, rank := range map[string]string{"x": "standard", "y": "idle"} {
+		s.job(func(r *api.Run, d *time.Duration) { r.Site, r.Rank, r.Pieces, *d = zone, rank, 4, 10*time.Minute })
+	}
+	s.rounds(t, 100, "both zones are full", func() bool { return s.running("run-000000")+s.running("run-000001") == 8 })
+	s.w.Cloud.Full = true
+	id := s.gang(t, func(r *api.Run, _ *time.Duration) { r.Together, r.Pieces = true, 3 })
+	s.rounds(t, 80, "all run", func() bool { return s.phases(id, api.Running) == 3 })
+}
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -488,7 +488,7 @@
 		if boots == nil {
 			boots = c.coming(now, true)
 		}
-		x := c.seat(l, hosts, boots)
+		x := c.seat(l, hosts, all, boots, now)
 		if sched.Missing(x.seats) == 0 {
 			if l.q.mine {
 				out.gangs = append(out.gangs, x.claim())
--- a/internal/controller/seats.go
+++ b/internal/controller/seats.go
@@ -41,10 +41,38 @@
 	l     *lacking
 	seats []*sched.Host // nil entries: not found
 	zone  string        // of a gang whose tasks go together
+	how   outlook       // how it can get its room there
 	kept  bool          // the seats found are kept from others though they are not all
 	hold  int           // places that it has already
 }
 
+// outlook is how a gang can get its room in a zone, the best first. Only the zone that is
+// chosen is rented and preempted in, so one that just happens to have most room free, but
+// can have no more, must not be.
+type outlook int
+
+const (
+	atOnce  outlook = iota
+	comes           // with what is being left, and boots
+	taken           // with what lower ranks have
+	rented          // with machines that can be rented
+	nowhere         // not as things stand
+)
+
+// yields tells how a gang that lacks room in a zone, even with what is coming, can get
+// it. Call with the lock held.
+func (c *Controller) yields(l *lacking, a *sched.Ask, all []*sched.Host, n int, now time.Time) outlook {
+	if sched.Slots(c.yielding(all, l.q.rank), a, n) >= n {
+		return taken
+	}
+	for _, o := range c.offers(now) {
+		if a.Allows(o.Build, o.Site, o.Loaners) {
+			return rented
+		}
+	}
+	return nowhere
+}
+
 // sites lists the zones that a gang whose tasks go together may choose from, this
 // node's first; one that is bound, or that may go anywhere, has one choice.
 func (c *Controller) sites(l *lacking) []string {
@@ -81,16 +109,19 @@
 // seat looks for room for all of a gang's tasks that have none, in the zone where they
 // start soonest. What is found for a gang that can't be complete is kept from others
 // only when the room that is coming completes it. Call with the lock held.
-func (c *Controller) seat(l *lacking, hosts map[string][]*sched.Host, coming []*sched.Host) *gangSearch {
+func (c *Controller) seat(l *lacking, hosts map[string][]*sched.Host, all, coming []*sched.Host, now time.Time) *gangSearch {
 	j := l.q.j
 	n := len(l.tasks)
 	x := &gangSearch{l: l, hold: j.placed()}
 	parts := c.ordered(hosts, j.main.Part)
 	flat := slices.Concat(parts...)
-	better := func(seats []*sched.Host, than []*sched.Host) bool {
+	better := func(seats []*sched.Host, how outlook, than []*sched.Host) bool {
 		if than == nil {
 			return true
 		}
+		if how != x.how {
+			return how < x.how
+		}
 		if a, b := sched.Missing(seats), sched.Missing(than); a != b {
 			return a < b
 		}
@@ -100,7 +131,8 @@
 		return sched.PartsOf(seats) < sched.PartsOf(than)
 	}
 	soon := false // with what is coming it would be complete
-	for _, site := range c.sites(l) {
+	sites := c.sites(l)
+	for _, site := range sites {
 		a := l.ask
 		if site != "" {
 			a.Site = site
@@ -115,9 +147,18 @@
 			}
 		}
 		soon = soon || will >= n
+		how := rented
+		switch {
+		case free >= n:
+			how = atOnce
+		case will >= n:
+			how = comes
+		case len(sites) > 1:
+			how = c.yields(l, &a, all, n, now)
+		}
 		if free == 0 || will < n { // a quick look, for one that is far too large
-			if x.seats == nil {
-				x.seats, x.zone = make([]*sched.Host, n), site
+			if none := make([]*sched.Host, n); better(none, how, x.seats) {
+				x.seats, x.zone, x.how = none, site, how
 			}
 			continue
 		}
@@ -131,8 +172,8 @@
 			}
 			found := sched.Seats(by, &a, seats)
 			sched.Unseat(found, &a)
-			if better(found, x.seats) {
-				x.seats, x.zone = found, site
+			if better(found, how, x.seats) {
+				x.seats, x.zone, x.how = found, site, how
 			}
 			if sched.Missing(found) == 0 && sched.Delay(found, &a) == 0 {
 				break // as soon as can be
