--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -302,9 +302,19 @@
 // cancellation committed since then is not known to it, and its tasks must be gone
 // within cancel_s.
 func (s *Settings) Unseen() time.Duration {
-	return max(s.HoldTTL(), secs(s.Facts.Workers.CancelS)-s.LeaseBound()-s.Report()/4)
+	return max(s.HoldTTL(), s.beyondLease())
 }
 
+// beyondLease is what cancel_s leaves besides a worker's lease.
+func (s *Settings) beyondLease() time.Duration {
+	return secs(s.Facts.Workers.CancelS) - s.LeaseBound() - s.Report()/4
+}
+
+// ConfirmsEmpty tells whether a cancellation is confirmed only when the last task of
+// the job is off its machine. It has to be where cancel_s leaves an owner less time
+// besides a lease than it needs to renew its hold: no answer of it would be safe then.
+func (s *Settings) ConfirmsEmpty() bool { return s.beyondLease() < s.HoldTTL() }
+
 // Team finds a team by name.
 func (s *Settings) Team(name string) (Team, bool) {
 	for _, t := range s.Facts.Teams {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -101,6 +101,7 @@
 	m                  *mirror
 	loaded             bool
 	reach              reach
+	vouched            map[string]time.Time // by peer: up to when it has answered for what it did
 	permit             uint64
 	validTil           time.Time // our hold surely lasts until then
 	seen               time.Time // all changes until then are in the mirror
@@ -143,6 +144,7 @@
 	stamp    uint64    // version of the owner's key
 	answered time.Time // latest time at which an earlier owner can have answered
 	leaving  bool      // being handed over: nothing is answered
+	taker    string    // a peer says that this node has taken it since: nothing is answered
 	kept     time.Time // when its record was last brought up to date by itself
 	bump     bool      // a worker has seen a higher term: take a new one
 }
@@ -184,7 +186,7 @@
 		fencing: make(chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/16)), nudging: make(chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/32)), users: make(chan struct{}, 128),
 		mine: map[string]*ownPart{}, sessions: map[string]*part.Session{}, absent: map[string]time.Time{}, homeUp: map[string]time.Time{},
 		sharers: cfg.Facts.Size, away: map[string]time.Time{}, refused: map[string]refusal{}, past: map[string]job.Past{}, adopt: map[string]part.Machine{},
-		retryAt: map[string]time.Time{}, errSeen: map[string]int{}, news: map[string]bool{}, narrow: map[string]int{}, short: map[string]bool{}, gangs: map[string]*gangState{}, missed: map[string]bool{}, commits: map[string]commits{}, arrivals: map[string][]arrival{}, bias: map[string]float64{},
+		vouched: map[string]time.Time{}, retryAt: map[string]time.Time{}, errSeen: map[string]int{}, news: map[string]bool{}, narrow: map[string]int{}, short: map[string]bool{}, gangs: map[string]*gangState{}, missed: map[string]bool{}, commits: map[string]commits{}, arrivals: map[string][]arrival{}, bias: map[string]float64{},
 		reach: reach{store: true, peers: map[string]bool{}}, renting: renting{inDoubt: map[sched.Offer]cloud.Rental{}, seen: map[string]time.Time{}}}
 	c.m = newMirror(log, c.arrived, func(host string) { c.news[host] = true })
 	c.m.onEnd = c.remember
@@ -505,16 +507,10 @@
 // the lock held.
 func (c *Controller) canAct(now time.Time) bool { return c.loaded && now.Before(c.validTil) }
 
-// canAnswer tells whether this node may still answer reports for what it owned
-// when it last could reach the state service. Call with the lock held.
-func (c *Controller) canAnswer(now time.Time) bool {
-	return c.loaded && c.permit != 0 && now.Before(c.validTil.Add(c.cfg.Grace())) && now.Before(c.seen.Add(c.cfg.Unseen()))
-}
-
 // owned gives the part if this node owns it. Call with the lock held.
 func (c *Controller) owned(p string) *ownPart {
 	o := c.mine[p]
-	if o == nil || o.leaving || c.m.owns[p].stamp != o.stamp {
+	if o == nil || o.leaving || o.taker != "" || c.m.owns[p].stamp != o.stamp {
 		return nil
 	}
 	return o
--- a/internal/controller/gangs.go
+++ b/internal/controller/gangs.go
@@ -50,9 +50,12 @@
 // gangPhase tells how a gang's attempt stands.
 func (j *liveJob) gangPhase() job.GangPhase { return j.main.Gang.Phase(j.placed()) }
 
+// gone tells whether the job was called off, as its record shows or a peer says.
+func (j *liveJob) gone() bool { return j.main.Gone || j.off }
+
 // leaves tells whether a placed task is to leave its machine.
 func (j *liveJob) leaves(p *job.Place) bool {
-	return p.Stop || j.main.Gone || isGang(j) && j.main.Gang.Leaves(p.Try)
+	return p.Stop || j.gone() || isGang(j) && j.main.Gang.Leaves(p.Try)
 }
 
 // starts tells whether a placed task may be launched: of a gang only once all its
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -457,7 +457,7 @@
 // of a gang only if all are told to, for the save fails without one of them.
 func saves(j *liveJob) bool {
 	g := j.main.Gang
-	return !j.main.Gone && j.main.Run.BookmarkS > 0 && (!isGang(j) || g != nil && g.Halt)
+	return !j.gone() && j.main.Run.BookmarkS > 0 && (!isGang(j) || g != nil && g.Halt)
 }
 
 // accept takes in a report and looks at what it says. Call with the lock held.
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -52,17 +52,11 @@
 	}
 }
 
-// askPeers asks every peer whether it reaches the state service.
+// askPeers asks every peer whether it reaches the state service, and what it has done
+// that this node can't see meanwhile.
 func (c *Controller) askPeers(ctx context.Context) {
 	for _, m := range c.cfg.Members {
-		r, err := c.peers.Ask(ctx, m.Addr, &peer.Request{Kind: peer.Request_KIND_HEALTH, From: c.cfg.HostName}, c.cfg.HoldTTL()/4)
-		c.mu.Lock()
-		if err != nil {
-			delete(c.reach.peers, m.HostName)
-		} else {
-			c.reach.peers[m.HostName] = r.GetStoreReached()
-		}
-		c.mu.Unlock()
+		c.askPeer(ctx, m.HostName, m.Addr)
 	}
 	c.mu.Lock()
 	c.reach.asked = !c.reach.store
@@ -130,7 +124,7 @@
 		return transport.Response{Status: 200, Body: b}
 	}
 	if !c.serves(&r) {
-		return answer(&peer.Reply{StoreReached: c.reachedLoaded()}), true
+		return answer(c.standing(&r)), true
 	}
 	select {
 	case c.users <- struct{}{}:
@@ -156,7 +150,18 @@
 // serves tells whether a peer's request is to be carried out: it asks for more
 // than our sight of the state service, and we can.
 func (c *Controller) serves(r *peer.Request) bool {
-	return r.GetKind() != peer.Request_KIND_HEALTH && c.reachedLoaded()
+	k := r.GetKind()
+	return k != peer.Request_KIND_HEALTH && k != peer.Request_KIND_VOUCH && c.reachedLoaded()
+}
+
+// standing answers a peer what this node sees of the state service and, if asked, what
+// it has done.
+func (c *Controller) standing(r *peer.Request) *peer.Reply {
+	a := &peer.Reply{StoreReached: c.reachedLoaded()}
+	if r.GetKind() == peer.Request_KIND_VOUCH {
+		a.Vouch = c.vouch(r.GetSince())
+	}
+	return a
 }
 
 // peerReply wraps what a user is to be told, by a node that reached the state
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -39,6 +39,9 @@
 	if o == nil || !c.canAnswer(now) {
 		// A node that may not act answers so at once: a 200 that the worker
 		// has to drop would hold it here while its lease runs out.
+		if mine := c.mine[m.Part]; mine != nil && mine.taker != "" && mine.taker != c.cfg.HostName {
+			return reply(421, map[string]string{"steward": mine.taker})
+		}
 		if own := c.m.owns[m.Part]; own.v != nil && own.v.Node != c.cfg.HostName {
 			return reply(421, map[string]string{"steward": own.v.Node})
 		}
@@ -120,7 +123,7 @@
 		// What is committed may have changed where we can't see it, but a withdrawn
 		// job stays withdrawn: its tasks have to go in time.
 		for _, pl := range c.m.onHost[host] {
-			if j := c.m.jobs[pl.uid]; j != nil && j.main.Gone {
+			if j := c.m.jobs[pl.uid]; j != nil && j.gone() {
 				out = append(out, c.haltOf(j, attempt{pl.name(j), pl.p.Try}))
 			}
 		}
@@ -186,7 +189,7 @@
 			if l.Phase == api.Saving || saves(j) {
 				left = left.Sub(need(&j.main.Run))
 			}
-			if l.Phase != api.Saving || j.main.Gone {
+			if l.Phase != api.Saving || j.gone() {
 				out = append(out, c.haltOf(j, a))
 			}
 		case l == nil && !stop && !j.starts(pl.p):
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -49,36 +49,39 @@
 	size   int                      // bytes of its main record
 	chunks map[int]value[job.Chunk] // those of its present division
 	open   []task                   // what is neither done nor placed; nil: to be worked out
+	off    bool                     // a peer says that it was called off, though its record doesn't show it yet
 }
 
 // mirror is this controller's copy of what lives in the state service. It is a
 // cache: every decision that rests on it is committed under guards on the
 // versions it rests on.
 type mirror struct {
-	log     *slog.Logger
-	loading bool              // a full list is being taken in
-	epoch   uint64            // all changes up to here are in
-	stamps  map[string]uint64 // of present keys
-	tombs   map[string]uint64 // of keys dropped at revisions that the watch has yet to reach
-	jobs    map[string]*liveJob
-	gangs   map[string]bool                          // those of them whose tasks start together
-	recs    map[string]map[chunkRec]value[job.Chunk] // chunks' records as they are, those of other divisions and of no job included
-	parts   map[string]value[part.Record]
-	owns    map[string]value[part.Own]
-	nodes   map[string]value[part.Own]
-	marks   map[string]value[part.Mark]
-	pages   map[string]value[part.Page]
-	hosts   map[string]*part.Machine // of all pages
-	teams   map[string]value[part.Usage]
-	term    uint64
-	onHost  map[string]map[string]*placed // host -> task -> place
-	names   []string                      // of hosts, sorted; nil: to be sorted anew
-	loads   map[string]*load              // host -> what is placed there, while nothing changes there
-	images  map[string]map[string]bool    // host -> images that tasks were put there with
-	gone    map[string]bool               // machines that were forgotten: they are gone for good
-	onJob   func(*job.Main)               // hears of each job that appears
-	onEnd   func(string, job.Past)        // hears of each job that is over
-	onTask  func(host string)             // hears of machines where tasks were placed, or are to leave
+	log        *slog.Logger
+	loading    bool              // a full list is being taken in
+	epoch      uint64            // all changes up to here are in
+	stamps     map[string]uint64 // of present keys
+	tombs      map[string]uint64 // of keys dropped at revisions that the watch has yet to reach
+	jobs       map[string]*liveJob
+	gangs      map[string]bool                          // those of them whose tasks start together
+	recs       map[string]map[chunkRec]value[job.Chunk] // chunks' records as they are, those of other divisions and of no job included
+	parts      map[string]value[part.Record]
+	owns       map[string]value[part.Own]
+	nodes      map[string]value[part.Own]
+	marks      map[string]value[part.Mark]
+	pages      map[string]value[part.Page]
+	hosts      map[string]*part.Machine // of all pages
+	teams      map[string]value[part.Usage]
+	term       uint64
+	calledOff  []cancellation                // the last ones
+	calledFrom uint64                        // all after that revision are among them
+	onHost     map[string]map[string]*placed // host -> task -> place
+	names      []string                      // of hosts, sorted; nil: to be sorted anew
+	loads      map[string]*load              // host -> what is placed there, while nothing changes there
+	images     map[string]map[string]bool    // host -> images that tasks were put there with
+	gone       map[string]bool               // machines that were forgotten: they are gone for good
+	onJob      func(*job.Main)               // hears of each job that appears
+	onEnd      func(string, job.Past)        // hears of each job that is over
+	onTask     func(host string)             // hears of machines where tasks were placed, or are to leave
 }
 
 // placed is one placement, found by its machine.
@@ -263,6 +266,9 @@
 			}
 		}
 	}
+	if v.Gone && (was == nil || !was.Gone) {
+		m.cancelled(uid, stamp)
+	}
 	j.main, j.stamp, j.size, j.open = v, stamp, len(raw), nil
 	if v.Inner {
 		m.setChunk(uid, j.chunks, 0, value[job.Chunk]{v.Only, stamp, len(raw)})
@@ -440,6 +446,7 @@
 			m.apply(k, nil, max(epoch, s+1))
 		}
 	}
+	m.calledOff, m.calledFrom = nil, epoch // others were called off and are over already
 	m.advance(epoch)
 }
 
@@ -459,7 +466,7 @@
 	if !j.main.Gone || j.main.Gang != nil && j.main.Gang.Done {
 		return job.Past{Phase: api.Done, Done: j.main.Run.Pieces}
 	}
-	return job.Past{Phase: api.Withdrawn, Done: j.stateOf().Done}
+	return job.Past{Phase: api.Withdrawn, Done: j.stateOf(false).Done}
 }
 
 // chunkAt gives the key and version of the record that holds chunk n.
@@ -470,8 +477,9 @@
 	return chunkKey(j.main.Run.UID, j.main.Gen, n), j.chunks[n].stamp
 }
 
-// stateOf tells users of a living job.
-func (j *liveJob) stateOf() api.State {
+// stateOf tells users of a living job. One that was called off is told so at once, or
+// else (config.ConfirmsEmpty) when it has no task left.
+func (j *liveJob) stateOf(confirmsEmpty bool) api.State {
 	s := api.State{UID: j.main.Run.UID, Phase: api.Pending, Done: j.main.FinishedTasks()}
 	g := j.main.Gang
 	if g != nil && g.Done { // committed, though not all of its records are gone yet
@@ -484,7 +492,7 @@
 		s.Running += len(c.v.Places)
 	}
 	switch {
-	case j.main.Gone:
+	case j.main.Gone && (s.Running == 0 || !confirmsEmpty):
 		s.Phase = api.Withdrawn
 	case j.main.Run.Shape == api.Ensemble && (g == nil || !g.Go):
 		s.Running = 0 // places that are held run nothing yet
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -105,7 +105,7 @@
 	}
 	c.mu.Lock()
 	if j := c.m.jobs[uid]; j != nil {
-		s := j.stateOf()
+		s := j.stateOf(c.cfg.ConfirmsEmpty())
 		c.mu.Unlock()
 		return s, true, nil
 	}
@@ -184,6 +184,13 @@
 	m := &job.Main{Run: *r, Part: c.cfg.HostName, AtMS: c.now().UnixMilli()}
 	size := len(api.JSON(m))
 	if size > c.valueRoom() { // room for what is added later
+		// It may be known all the same, and its repetition be longer.
+		switch s, found, err := c.known(ctx, r.UID); {
+		case err != nil:
+			return errBusy
+		case found:
+			return reply(200, s)
+		}
 		return reply(400, map[string]string{"error": "submission too long"})
 	}
 	c.mu.Lock()
@@ -412,6 +419,9 @@
 		if done {
 			c.log.Info("job withdrawn", "job", uid)
 			c.poke()
+			if c.cfg.ConfirmsEmpty() {
+				continue // what is committed is told as it stands
+			}
 			return reply(200, map[string]string{"uid": uid, "phase": api.Withdrawn})
 		}
 	}
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -70,7 +70,7 @@
 		return nil, errors.New("refused")
 	}
 	if !n.c.serves(r) {
-		return &peer.Reply{StoreReached: n.c.reachedLoaded()}, nil
+		return n.c.standing(r), nil
 	}
 	return peerReply(n.c.local(ctx, r)), nil
 }
@@ -137,6 +137,7 @@
 	n := s.nodes[i]
 	names := []string{"n0", "n1", "n2"}
 	cfg := settings(i, names, s.w.Zones, s.w.Limits)
+	cfg.Facts.Workers.LeaseS, cfg.Facts.Workers.CancelS = s.w.Lease.Seconds(), s.w.CancelS.Seconds()
 	next := s.next
 	cfg.Facts.State.StateLimits, cfg.Facts.State.Next = s.state, &next
 	if n.old {
