--- a/internal/controller/meet_test.go
+++ b/internal/controller/meet_test.go
@@ -488,6 +488,57 @@
 	}
 }
 
+// stall has every node's next transaction wait for something.
+func (s *sim) stall(f func(node int)) {
+	for i, n := range s.nodes {
+		n.c.store.(*standin.Client).Stall = func() { f(i) }
+	}
+}
+
+// A cancellation is confirmed by another node in the moment between a decision and its
+// transaction: a placement, the end of the last task, a claim of a gang. The later of the
+// two is not carried out.
+func TestMeetCancelBesideDecision(t *testing.T) {
+	for _, shape := range []string{api.Sweep, api.Ensemble} {
+		for _, last := range []bool{false, true} {
+			s := warmSim()
+			low := s.array(4, time.Hour, func(r *api.Run) { r.Rank = "idle" })
+			s.rounds(t, 80, "machines are up", func() bool { return s.running(low) == 4 })
+			id := s.array(2, 2*time.Second, func(r *api.Run) { r.Shape = shape })
+			if last {
+				ends := 0
+				s.w.AtEnd = func(uid string) {
+					if uid == id {
+						ends++
+					}
+				}
+				s.rounds(t, 80, "both ended", func() bool { return ends == 2 })
+			}
+			told := ""
+			s.stall(func(node int) {
+				if told != "" {
+					return
+				}
+				s.cancel((node+1)%3, id)
+				told = s.w.Jobs[id].Phase
+				s.lookEverywhere(id)
+			})
+			for range 12 {
+				s.pass(t, 1)
+				s.lookEverywhere(id)
+			}
+			if told != api.Withdrawn {
+				t.Errorf("%s, last %t: told %q", shape, last, told)
+			}
+			s.cancel(0, low)
+			s.finish(t)
+			if s.w.LateStarts > 0 {
+				t.Errorf("%s, last %t: %d starts after a confirmed cancellation", shape, last, s.w.LateStarts)
+			}
+		}
+	}
+}
+
 // Jobs are cancelled in the seconds in which one controller's work changes hands: before
 // its end shows, while nobody owns the part, as it is taken, and as it is handed back.
 func TestMeetCancelInHandover(t *testing.T) {
@@ -550,6 +601,19 @@
 		s := warmSim()
 		s.w.Flavor.Boot = boot
 		a := s.array(12, 2*time.Second, nil)
+		// Who rents hears no answer and ends: only the machines tell that they are there.
+		for k := 0; k < 20 && len(s.w.Cloud.Hosts) == 0; k++ {
+			for _, n := range s.nodes {
+				s.w.Cloud.Next[n.name] = standin.LoseAfter
+			}
+			s.pass(t, 1)
+		}
+		if len(s.w.Cloud.Hosts) == 0 {
+			t.Error("nothing was rented")
+		}
+		for i := range s.nodes {
+			s.start(i)
+		}
 		s.service(3, nil)
 		for k := range 30 {
 			s.w.Store.Next[s.nodes[k%3].name] = standin.Fault(k % 4)
@@ -624,7 +688,7 @@
 // and nothing is given up.
 func TestMeetMoreWorkThanRoom(t *testing.T) {
 	s := warmSim()
-	low := s.array(8, 5*time.Second, func(r *api.Run) { r.Rank = "idle" })
+	low := s.array(8, time.Hour, func(r *api.Run) { r.Rank = "idle" })
 	s.rounds(t, 80, "idle work runs", func() bool { return s.running(low) > 0 })
 	s.w.Cloud.Full = true
 	var urgent []string
@@ -653,6 +717,7 @@
 			t.Errorf("urgent %s is not done", id)
 		}
 	}
+	s.cancel(1, low)
 	s.finish(t)
 }
 
