--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -294,8 +294,7 @@
 // reports when it can't reach the store. A cancellation it can't see must end
 // within cancel_s even so: hold, grace and lease together stay below that.
 func (s *Settings) Grace() time.Duration {
-	spare := secs(s.Facts.Workers.CancelS) - s.LeaseBound() - s.HoldTTL() - s.Report()/4
-	return max(0, min(2*s.Lease(), spare))
+	return max(0, min(2*s.Lease(), s.beyondLease()-s.HoldTTL()))
 }
 
 // Unseen is how long after it last read the changes an owner may answer reports: a
@@ -307,7 +306,7 @@
 
 // beyondLease is what cancel_s leaves besides a worker's lease.
 func (s *Settings) beyondLease() time.Duration {
-	return secs(s.Facts.Workers.CancelS) - s.LeaseBound() - s.Report()/4
+	return secs(s.Facts.Workers.CancelS/drift) - s.LeaseBound() - s.Report()/4
 }
 
 // ConfirmsEmpty tells whether a cancellation is confirmed only when the last task of
