--- a/internal/controller/meet_test.go
+++ b/internal/controller/meet_test.go
@@ -399,15 +399,15 @@
 // team, which is at its limit, has no room before the lease is over.
 func TestMeetHeldReport(t *testing.T) {
 	s := warmSim()
-	first := s.array(5, time.Second, func(r *api.Run) { r.Owner = "a" })
+	first := s.array(5, time.Second, func(r *api.Run) { r.Owner, r.Site = "a", "x" })
 	s.rounds(t, 120, "machines are up", s.done(first))
 	var held [][]byte
 	for _, h := range s.w.Cloud.Names() {
 		held = append(held, api.JSON(s.w.Cloud.Hosts[h].Report()))
 	}
-	off := s.service(5, func(r *api.Run) { r.Owner = "a" })
+	off := s.service(5, func(r *api.Run) { r.Owner, r.Site = "a", "x" })
 	s.rounds(t, 80, "replicas run", func() bool { return s.running(off) == 5 })
-	spare := s.service(4, nil) // leaves machines with room when it goes
+	spare := s.service(4, func(r *api.Run) { r.Site = "y" }) // leaves machines with room when it goes
 	s.rounds(t, 80, "replicas run", func() bool { return s.running(spare) == 4 })
 	for h := range s.hostsOf(off) {
 		s.w.Cloud.Hosts[h].Cut = true
@@ -420,7 +420,7 @@
 	for _, id := range []string{off, spare} {
 		s.cancel(1, id)
 	}
-	s.array(4, 2*time.Second, func(r *api.Run) { r.Owner = "a" })
+	s.array(4, 2*time.Second, func(r *api.Run) { r.Owner, r.Site = "a", "y" })
 	s.pass(t, 1) // the new leader knows
 	for _, b := range held {
 		for i := range s.nodes {
