Words: token, session, spot, cancelled, as the field has them

No behaviour, stored or sent name changes: the protocol's field names stay in tags, the operators' expressions keep theirs. job withdrawn in the log is job cancelled now.

--- a/internal/api/checkin.go
+++ b/internal/api/checkin.go
@@ -62,17 +62,17 @@
 	Addr    string       `json:"addr"`
 	Build   string       `json:"build"`
 	Site    string       `json:"site"`
-	Loaners bool         `json:"loaners"`
-	Tenure  uint64       `json:"tenure"`
+	Spot    bool         `json:"loaners"`
+	Session uint64       `json:"tenure"`
 	Tick    uint64       `json:"tick"`
-	Baton   uint64       `json:"baton"`
+	Token   uint64       `json:"baton"`
 	RecallS *float64     `json:"recallS"`
 	Pieces  []PieceState `json:"pieces"`
 }
 
 // Newer tells whether c was made after the report (tenure, tick).
 func (c *Checkin) Newer(tenure, tick uint64) bool {
-	return c.Tenure > tenure || c.Tenure == tenure && c.Tick > tick
+	return c.Session > tenure || c.Session == tenure && c.Tick > tick
 }
 
 // ParseCheckin reads a report.
@@ -81,7 +81,7 @@
 	if err := json.Unmarshal(body, &c); err != nil {
 		return nil, err
 	}
-	if c.Host == "" || c.Tenure == 0 || len(c.Host) > 100 || strings.ContainsAny(c.Host, " /?&#%") {
+	if c.Host == "" || c.Session == 0 || len(c.Host) > 100 || strings.ContainsAny(c.Host, " /?&#%") {
 		return nil, errors.New("host or tenure missing")
 	}
 	return &c, nil
@@ -104,9 +104,9 @@
 
 // Orders answers a report, or goes to /commands (then with a tenure).
 type Orders struct {
-	Baton  uint64  `json:"baton"`
-	Tenure uint64  `json:"tenure,omitempty"`
-	Orders []Order `json:"orders"`
+	Token   uint64  `json:"baton"`
+	Session uint64  `json:"tenure,omitempty"`
+	Orders  []Order `json:"orders"`
 }
 
 // PieceName names task i of a job.
--- a/internal/api/run.go
+++ b/internal/api/run.go
@@ -23,7 +23,7 @@
 	Pending   = "pending"
 	Running   = "running"
 	Done      = "done"
-	Withdrawn = "withdrawn"
+	Cancelled = "withdrawn"
 )
 
 // MaxPieces is the largest number of tasks in a job.
@@ -55,7 +55,7 @@
 	Site      string   `json:"site,omitempty"`
 	Together  bool     `json:"together,omitempty"`
 	Scatter   bool     `json:"scatter,omitempty"`
-	Loaners   bool     `json:"loaners,omitempty"`
+	Spot      bool     `json:"loaners,omitempty"`
 	GuessS    float64  `json:"guessS,omitempty"`
 	BookmarkS float64  `json:"bookmarkS,omitempty"`
 	StowS     float64  `json:"stowS,omitempty"`
@@ -175,7 +175,7 @@
 	}
 	f.get("together", false, &r.Together)
 	f.get("scatter", false, &r.Scatter)
-	f.get("loaners", false, &r.Loaners)
+	f.get("loaners", false, &r.Spot)
 	f.amount("guessS", &r.GuessS)
 	f.amount("bookmarkS", &r.BookmarkS)
 	f.amount("stowS", &r.StowS)
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -35,13 +35,13 @@
 
 // Host is a rented machine as listed.
 type Host struct {
-	UID     string  `json:"uid"`
-	Addr    string  `json:"addr"`
-	Build   string  `json:"build"`
-	Site    string  `json:"site"`
-	Loaners bool    `json:"loaners"`
-	Phase   string  `json:"phase"`
-	HeldS   float64 `json:"heldS"`
+	UID   string  `json:"uid"`
+	Addr  string  `json:"addr"`
+	Build string  `json:"build"`
+	Site  string  `json:"site"`
+	Spot  bool    `json:"loaners"`
+	Phase string  `json:"phase"`
+	HeldS float64 `json:"heldS"`
 }
 
 // Rental asks for machines. Hire names the request and is never used again.
@@ -49,7 +49,7 @@
 	Hire    string `json:"hire"`
 	Build   string `json:"build"`
 	Site    string `json:"site"`
-	Loaners bool   `json:"loaners"`
+	Spot    bool   `json:"loaners"`
 	HowMany int    `json:"howMany"`
 }
 
--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -54,7 +54,7 @@
 type idleEnv struct {
 	Startup float64 `expr:"startup"`
 	Price   float64 `expr:"price"` // an hour
-	Loaners bool    `expr:"loaners"`
+	Spot    bool    `expr:"loaners"`
 }
 
 // defaultPolicy serves ranks in order, guarantees first within a rank, then
--- a/internal/controller/ends.go
+++ b/internal/controller/ends.go
@@ -247,7 +247,7 @@
 				done += ch.v.DoneCount()
 			}
 		}
-		past := job.Past{Phase: api.Withdrawn, Done: done}
+		past := job.Past{Phase: api.Cancelled, Done: done}
 		if g := j.main.Gang; g != nil && g.Done {
 			past = job.Past{Phase: api.Done, Done: j.main.Run.Pieces}
 			if on > 0 && c.counted(j) {
--- a/internal/controller/found_test.go
+++ b/internal/controller/found_test.go
@@ -670,7 +670,7 @@
 	}
 	for _, x := range s.w.Cloud.Hosts { // a worker that the new owner's fence has not reached must not be held
 		r := x.Report()
-		r.Baton = part.BatonOf(s.nodes[cut].c.mine[home].term, 0)
+		r.Token = part.TokenOf(s.nodes[cut].c.mine[home].term, 0)
 		if status, _, _ := s.deliver(cut, api.JSON(r)); status == 200 {
 			t.Error("it answers reports beyond its grace")
 		}
--- a/internal/controller/gap_test.go
+++ b/internal/controller/gap_test.go
@@ -38,7 +38,7 @@
 	leader, other := s.served(t, off)
 	s.w.Store.Refuse[s.nodes[leader].name] = true
 	s.step(leader) // it notices
-	if s.cancel(other, off); s.w.Jobs[off].Phase != api.Withdrawn {
+	if s.cancel(other, off); s.w.Jobs[off].Phase != api.Cancelled {
 		t.Fatal("not confirmed")
 	}
 	s.w.Store.Down = true
@@ -193,7 +193,7 @@
 			s.cancel(other, off)
 			check()
 		}
-		if s.w.Jobs[off].Phase != api.Withdrawn {
+		if s.w.Jobs[off].Phase != api.Cancelled {
 			t.Fatalf("lease %v, cancel_s %v: never confirmed", s.w.Lease, s.w.CancelS)
 		}
 		for range int(s.w.CancelS/(500*time.Millisecond)) + 2 {
@@ -285,7 +285,7 @@
 	for h, m := range c.m.hosts {
 		if x := s.w.Cloud.Hosts[h]; m.Part == home && x != nil && x.Up() {
 			r := x.Report()
-			r.Baton = 0
+			r.Token = 0
 			if status, _, steward := s.deliver(leader, api.JSON(r)); status != 421 || steward != s.owner(home) {
 				t.Errorf("%s is answered %d, steward %q", h, status, steward)
 			}
--- a/internal/controller/hunt.go
+++ b/internal/controller/hunt.go
@@ -149,7 +149,7 @@
 		warm := len(found) // of the first list, those are not to come twice
 		for i := 0; i < len(from) && len(found) < most; i++ {
 			p := from[(at+i)%len(from)]
-			if !a.Allows(p.h.Build, p.h.Site, p.h.Loaners) || warm > 0 && p.h.Warm[a.Bundle] {
+			if !a.Allows(p.h.Build, p.h.Site, p.h.Spot) || warm > 0 && p.h.Warm[a.Bundle] {
 				continue
 			}
 			if p = x.allowed(q, p); p == nil {
@@ -215,7 +215,7 @@
 	var on *option
 	bestCost := 0.0
 	for _, p := range from {
-		if !a.Allows(p.h.Build, p.h.Site, p.h.Loaners) || a.Has && !p.warm {
+		if !a.Allows(p.h.Build, p.h.Site, p.h.Spot) || a.Has && !p.warm {
 			continue
 		}
 		take, cost := p.best(a.Need)
--- a/internal/controller/limits_test.go
+++ b/internal/controller/limits_test.go
@@ -77,7 +77,7 @@
 	s.fall()
 	s.rounds(t, 60, "cancelled", func() bool {
 		s.cancel(1, withdrawn)
-		return s.w.Jobs[withdrawn].Phase == api.Withdrawn
+		return s.w.Jobs[withdrawn].Phase == api.Cancelled
 	})
 	s.rounds(t, 900, "done", s.done(inside))
 	s.rounds(t, 900, "done", s.done(chunked))
--- a/internal/controller/meet_test.go
+++ b/internal/controller/meet_test.go
@@ -195,7 +195,7 @@
 	s.w.Store.Next["n1"] = standin.LoseAfter
 	s.cancel(1, b)
 	s.lookEverywhere(b)
-	if s.w.Jobs[b].Phase != api.Withdrawn {
+	if s.w.Jobs[b].Phase != api.Cancelled {
 		t.Error("other nodes don't read the cancellation")
 	}
 	for range 60 { // each end's answer is lost too
@@ -527,7 +527,7 @@
 				s.pass(t, 1)
 				s.lookEverywhere(id)
 			}
-			if told != api.Withdrawn {
+			if told != api.Cancelled {
 				t.Errorf("%s, last %t: told %q", shape, last, told)
 			}
 			s.cancel(0, low)
@@ -736,7 +736,7 @@
 		if k%3 == 0 {
 			s.cancel((k+1)%3, id)
 			s.lookEverywhere(id)
-			if s.w.Jobs[id].Phase != api.Withdrawn {
+			if s.w.Jobs[id].Phase != api.Cancelled {
 				t.Fatal("not confirmed")
 			}
 		}
--- a/internal/controller/owner.go
+++ b/internal/controller/owner.go
@@ -329,7 +329,7 @@
 // are dropped from then on, and learns what runs there. Call with the lock held.
 func (c *Controller) fence(ctx context.Context, host string) {
 	if s := c.sessions[host]; s != nil && !s.Fenced && c.now().Sub(s.Asked) >= c.cfg.Report() {
-		c.command(ctx, host, c.fencing, api.Orders{Tenure: 1, Orders: []api.Order{}})
+		c.command(ctx, host, c.fencing, api.Orders{Session: 1, Orders: []api.Order{}})
 	}
 }
 
@@ -348,7 +348,7 @@
 	}
 	s.Asked = c.now()
 	term, addr := s.Term, m.Addr
-	o.Baton = s.Baton()
+	o.Token = s.Token()
 	c.spawn(func() {
 		defer func() { <-slots }()
 		for range 2 {
@@ -362,10 +362,10 @@
 				c.accept(host, s, r)
 			}
 			c.mu.Unlock()
-			if done || part.TermOf(r.Baton) >= term {
+			if done || part.TermOf(r.Token) >= term {
 				return
 			}
-			o.Tenure = r.Tenure
+			o.Session = r.Session
 		}
 	})
 	return true
@@ -390,7 +390,7 @@
 			delete(c.news, host)
 			continue
 		}
-		o := api.Orders{Tenure: s.Report.Tenure}
+		o := api.Orders{Session: s.Report.Session}
 		var stop, start bool
 		o.Orders, stop, start = c.atOnce(host, s)
 		if !stop {
@@ -471,7 +471,7 @@
 	if s.Deaf && !deaf {
 		c.log.Info("worker's lease ran out", "host", host, "why", "it does not hear its answers, or was cut off: no tasks until it obeys")
 	}
-	if old == nil || deaf != s.Deaf || old.Tenure != r.Tenure || (old.RecallS == nil) != (r.RecallS == nil) || !slices.Equal(old.Pieces, r.Pieces) {
+	if old == nil || deaf != s.Deaf || old.Session != r.Session || (old.RecallS == nil) != (r.RecallS == nil) || !slices.Equal(old.Pieces, r.Pieces) {
 		c.poke()
 	}
 	return true
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -137,7 +137,7 @@
 		}
 		cp, _ := c.capOf(m.Build)
 		l := c.loadOf(h)
-		room = append(room, sched.Host{WaitS: c.waitOn(h, c.loadOf(h), now), Name: h, Part: m.Part, Build: m.Build, Site: m.Site, Loaners: m.Loaners, Cap: cp, Free: r, Warm: c.m.images[h], Daemons: l.daemons, Sweeps: l.sweeps})
+		room = append(room, sched.Host{WaitS: c.waitOn(h, c.loadOf(h), now), Name: h, Part: m.Part, Build: m.Build, Site: m.Site, Spot: m.Spot, Cap: cp, Free: r, Warm: c.m.images[h], Daemons: l.daemons, Sweeps: l.sweeps})
 		out = append(out, &room[len(room)-1])
 	}
 	return out
--- a/internal/controller/production_test.go
+++ b/internal/controller/production_test.go
@@ -61,13 +61,13 @@
 		Use      map[string][3]float64 `json:"u,omitempty"`
 	}
 	prodMachine struct {
-		Part    string `json:"p"`
-		Build   string `json:"b"`
-		Site    string `json:"s"`
-		Loaners bool   `json:"l,omitempty"`
-		Addr    string `json:"a,omitempty"`
-		For     string `json:"f,omitempty"`
-		AtMS    int64  `json:"at"`
+		Part  string `json:"p"`
+		Build string `json:"b"`
+		Site  string `json:"s"`
+		Spot  bool   `json:"l,omitempty"`
+		Addr  string `json:"a,omitempty"`
+		For   string `json:"f,omitempty"`
+		AtMS  int64  `json:"at"`
 	}
 	prodUsage struct {
 		Held map[string][3]float64 `json:"u"`
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -65,7 +65,7 @@
 	for _, f := range c.flavors {
 		cp := sched.Room{CPUs: f.CPUs, GPUs: f.GPUs, MemGB: f.MemGB}
 		for _, site := range f.Sites {
-			for _, o := range []sched.Offer{{Build: f.Label, Site: site, Cap: cp, Price: f.Price}, {Build: f.Label, Site: site, Loaners: true, Cap: cp, Price: f.MarketPrice}} {
+			for _, o := range []sched.Offer{{Build: f.Label, Site: site, Cap: cp, Price: f.Price}, {Build: f.Label, Site: site, Spot: true, Cap: cp, Price: f.MarketPrice}} {
 				if r, ok := c.refused[offerKey(o)]; !ok || now.After(r.until) {
 					out = append(out, o)
 				}
@@ -82,7 +82,7 @@
 	return f.Price
 }
 
-func offerKey(o sched.Offer) string { return fmt.Sprintf("%s/%s/%t", o.Build, o.Site, o.Loaners) }
+func offerKey(o sched.Offer) string { return fmt.Sprintf("%s/%s/%t", o.Build, o.Site, o.Spot) }
 
 // coming lists the machines that have not come up yet: those rented for this
 // node's parts, or all. Call with the lock held.
@@ -106,7 +106,7 @@
 		if float64(now.UnixMilli()-m.AtMS)/1000 > 2*f.StartupS {
 			continue // late: it may never come
 		}
-		out = append(out, &sched.Host{Name: host, Part: m.Part, Build: m.Build, Site: m.Site, Loaners: m.Loaners, Cap: cp, Free: cp})
+		out = append(out, &sched.Host{Name: host, Part: m.Part, Build: m.Build, Site: m.Site, Spot: m.Spot, Cap: cp, Free: cp})
 	}
 	return out
 }
@@ -146,7 +146,7 @@
 		if !doubt {
 			c.hires++
 			// Part, term and count: no other node or life ever uses this name.
-			r = cloud.Rental{Hire: fmt.Sprintf("%s-%d-%d", mine, term, c.hires), Build: o.Offer.Build, Site: o.Offer.Site, Loaners: o.Offer.Loaners, HowMany: min(o.Count, cloud.MaxRental)}
+			r = cloud.Rental{Hire: fmt.Sprintf("%s-%d-%d", mine, term, c.hires), Build: o.Offer.Build, Site: o.Offer.Site, Spot: o.Offer.Spot, HowMany: min(o.Count, cloud.MaxRental)}
 		}
 		hosts, err := c.cloud.Rent(ctx, r)
 		key := offerKey(o.Offer)
@@ -155,9 +155,9 @@
 		case err == nil:
 			delete(inDoubt, o.Offer)
 			delete(c.refused, key)
-			c.log.Info("machines rented", "hire", r.Hire, "build", r.Build, "site", r.Site, "loaners", r.Loaners, "asked", r.HowMany, "hosts", hosts)
+			c.log.Info("machines rented", "hire", r.Hire, "build", r.Build, "site", r.Site, "loaners", r.Spot, "asked", r.HowMany, "hosts", hosts)
 			for _, h := range hosts {
-				c.adopt[h] = part.Machine{Build: r.Build, Site: r.Site, Loaners: r.Loaners, For: mine}
+				c.adopt[h] = part.Machine{Build: r.Build, Site: r.Site, Spot: r.Spot, For: mine}
 			}
 			if len(hosts) < r.HowMany {
 				again = true
@@ -165,7 +165,7 @@
 			}
 		case errors.Is(err, cloud.ErrNoCapacity):
 			delete(inDoubt, o.Offer)
-			c.log.Info("rental refused", "hire", r.Hire, "build", r.Build, "site", r.Site, "loaners", r.Loaners)
+			c.log.Info("rental refused", "hire", r.Hire, "build", r.Build, "site", r.Site, "loaners", r.Spot)
 			again = true
 			c.refuse(key, r.Build, now)
 		default:
@@ -217,7 +217,7 @@
 			if first, ok := seen[h.UID]; !ok {
 				seen[h.UID] = now
 			} else if now.Sub(first) > 4*lag && h.Phase != "failed" {
-				c.stranger(h.UID, part.Machine{Build: h.Build, Site: h.Site, Loaners: h.Loaners, Addr: h.Addr})
+				c.stranger(h.UID, part.Machine{Build: h.Build, Site: h.Site, Spot: h.Spot, Addr: h.Addr})
 			}
 			continue
 		}
@@ -301,7 +301,7 @@
 			s.Gone = true
 		}
 		if m := c.m.hosts[h]; m != nil { // what was refused may be had again
-			delete(c.refused, offerKey(sched.Offer{Build: m.Build, Site: m.Site, Loaners: m.Loaners}))
+			delete(c.refused, offerKey(sched.Offer{Build: m.Build, Site: m.Site, Spot: m.Spot}))
 		}
 	}
 	c.mu.Unlock()
@@ -381,7 +381,7 @@
 	if s.Idle.IsZero() {
 		s.Idle = now
 	}
-	if now.Sub(s.Idle).Seconds() > c.policy.Idle(f.StartupS, priceOf(f, m.Loaners), m.Loaners) && !view.isSpare(host) {
+	if now.Sub(s.Idle).Seconds() > c.policy.Idle(f.StartupS, priceOf(f, m.Spot), m.Spot) && !view.isSpare(host) {
 		drain("idle")
 	}
 }
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -31,7 +31,7 @@
 		// Only one that the cloud lists: a copy of a report may come long after
 		// its machine is gone, and nobody else remembers that it was there.
 		if c.inList[r.Host] {
-			c.stranger(r.Host, part.Machine{Build: r.Build, Site: r.Site, Loaners: r.Loaners, Addr: r.Addr})
+			c.stranger(r.Host, part.Machine{Build: r.Build, Site: r.Site, Spot: r.Spot, Addr: r.Addr})
 		}
 		return errBusy
 	}
@@ -51,10 +51,10 @@
 	if s.Stale(r, now, reportPatience) {
 		return errBusy // nobody waits for it, and it says nothing about now
 	}
-	if part.TermOf(r.Baton) > o.term {
+	if part.TermOf(r.Token) > o.term {
 		// It has seen a token above ours, so it drops what we say. When the term
 		// record knows it, somebody else has taken the part.
-		if part.TermOf(r.Baton) <= c.m.term {
+		if part.TermOf(r.Token) <= c.m.term {
 			o.bump = true
 		}
 		return reply(421, struct{}{})
@@ -62,8 +62,8 @@
 	if m.Addr != r.Addr && r.Addr != "" {
 		m.Addr = r.Addr // the record may have been made before the address was known
 	}
-	s.Last = [2]uint64{r.Tenure, r.Tick}
-	if part.TermOf(r.Baton) < o.term {
+	s.Last = [2]uint64{r.Session, r.Tick}
+	if part.TermOf(r.Token) < o.term {
 		// Not heard of us yet. One that was answered and reports as before does
 		// not hear: our answers renew no lease there, and to count them would
 		// keep its tasks waiting for ever.
@@ -82,14 +82,14 @@
 			s.UnheardAt = now
 		}
 		s.Answered = now
-		return reply(200, api.Orders{Baton: s.Baton(), Orders: []api.Order{}})
+		return reply(200, api.Orders{Token: s.Token(), Orders: []api.Order{}})
 	}
 	orders := []api.Order{}
 	if c.accept(r.Host, s, r) {
 		orders = c.orders(r, s, now)
 	}
 	s.Answered = now
-	return reply(200, api.Orders{Baton: s.Baton(), Orders: orders})
+	return reply(200, api.Orders{Token: s.Token(), Orders: orders})
 }
 
 // reportPatience is how long a worker waits for an answer (PROTOCOL).
--- a/internal/controller/seats.go
+++ b/internal/controller/seats.go
@@ -66,7 +66,7 @@
 		return taken
 	}
 	for _, o := range c.offers(now) {
-		if a.Allows(o.Build, o.Site, o.Loaners) {
+		if a.Allows(o.Build, o.Site, o.Spot) {
 			return rented
 		}
 	}
@@ -140,7 +140,7 @@
 		free := sched.Slots(flat, &a, n)
 		will := free + sched.Slots(coming, &a, n-free)
 		for _, h := range flat { // and what is on its way out
-			if a.Allows(h.Build, h.Site, h.Loaners) && will < n {
+			if a.Allows(h.Build, h.Site, h.Spot) && will < n {
 				away := *h
 				away.Free = c.loadOf(h.Name).leaving
 				will += sched.Slots([]*sched.Host{&away}, &a, n-will)
--- a/internal/controller/state.go
+++ b/internal/controller/state.go
@@ -466,7 +466,7 @@
 	if !j.main.Gone || j.main.Gang != nil && j.main.Gang.Done {
 		return job.Past{Phase: api.Done, Done: j.main.Run.Pieces}
 	}
-	return job.Past{Phase: api.Withdrawn, Done: j.stateOf(false).Done}
+	return job.Past{Phase: api.Cancelled, Done: j.stateOf(false).Done}
 }
 
 // chunkAt gives the key and version of the record that holds chunk n.
@@ -493,7 +493,7 @@
 	}
 	switch {
 	case j.main.Gone && (s.Running == 0 || !confirmsEmpty):
-		s.Phase = api.Withdrawn
+		s.Phase = api.Cancelled
 	case j.main.Run.Shape == api.Ensemble && (g == nil || !g.Go):
 		s.Running = 0 // places that are held run nothing yet
 	case s.Running > 0:
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -252,7 +252,7 @@
 }
 
 func askOf(r *api.Run) sched.Ask {
-	return sched.Ask{Need: need(r), Builds: r.Builds, Site: r.Site, Loaners: r.Loaners, Bundle: r.Bundle, Daemon: r.Shape == api.Daemon}
+	return sched.Ask{Need: need(r), Builds: r.Builds, Site: r.Site, Spot: r.Spot, Bundle: r.Bundle, Daemon: r.Shape == api.Daemon}
 }
 
 // enqueue adds a submission to the bounded line of those to be committed, and
@@ -391,7 +391,7 @@
 			return errBusy
 		case !found:
 			return reply(404, map[string]string{"error": "no such run"})
-		case s.Phase == api.Done || s.Phase == api.Withdrawn:
+		case s.Phase == api.Done || s.Phase == api.Cancelled:
 			return reply(200, map[string]string{"uid": uid, "phase": s.Phase})
 		}
 		c.mu.Lock()
@@ -417,12 +417,12 @@
 			return errBusy
 		}
 		if done {
-			c.log.Info("job withdrawn", "job", uid)
+			c.log.Info("job cancelled", "job", uid)
 			c.poke()
 			if c.cfg.ConfirmsEmpty() {
 				continue // what is committed is told as it stands
 			}
-			return reply(200, map[string]string{"uid": uid, "phase": api.Withdrawn})
+			return reply(200, map[string]string{"uid": uid, "phase": api.Cancelled})
 		}
 	}
 	return errBusy
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -237,7 +237,7 @@
 	if len(s.copies) < 64 {
 		s.copies = append(s.copies, copied{to, body})
 	}
-	sent, tenure := s.w.Now, x.Tenure
+	sent, tenure := s.w.Now, x.Session
 	status, o, steward := s.deliver(to, body)
 	switch {
 	case f == answerLost || x.Deaf:
@@ -280,7 +280,7 @@
 func submission(r *api.Run) []byte {
 	m := map[string]any{"uid": r.UID, "lane": r.Lane, "owner": r.Owner, "shape": r.Shape, "rank": r.Rank, "pieces": r.Pieces,
 		"cpus": r.CPUs, "gpus": r.GPUs, "memGb": r.MemGB, "bundle": r.Bundle, "sizeGb": r.SizeGB, "together": r.Together,
-		"scatter": r.Scatter, "loaners": r.Loaners, "guessS": r.GuessS, "bookmarkS": r.BookmarkS, "stowS": r.StowS}
+		"scatter": r.Scatter, "loaners": r.Spot, "guessS": r.GuessS, "bookmarkS": r.BookmarkS, "stowS": r.StowS}
 	if r.Site != "" {
 		m["site"] = r.Site
 	}
@@ -405,7 +405,7 @@
 	case 2:
 		r.Site = "x"
 	}
-	r.Loaners = rapid.Bool().Draw(t, "loaners")
+	r.Spot = rapid.Bool().Draw(t, "loaners")
 	if rapid.Bool().Draw(t, "saves") {
 		r.BookmarkS, r.StowS = 5, 1
 	}
@@ -536,7 +536,7 @@
 		"kill":  func(t *rapid.T) { s.w.Cloud.Kill(host(t).Host) },
 		"recall": func(t *rapid.T) {
 			x, left := host(t), 4.0
-			if x.Loaners {
+			if x.Spot {
 				x.RecallS = &left
 			}
 		},
@@ -731,7 +731,7 @@
 					here++
 				}
 			}
-			if x.Up() && x.RecallS == nil && (r.Site == "" || r.Site == x.Site) && (r.Loaners || !x.Loaners) {
+			if x.Up() && x.RecallS == nil && (r.Site == "" || r.Site == x.Site) && (r.Spot || !x.Spot) {
 				cpus, gpus := x.Room()
 				room = room || cpus >= r.CPUs && gpus >= r.GPUs
 			}
@@ -836,7 +836,7 @@
 				}
 			}
 			switch {
-			case j.Phase == api.Withdrawn:
+			case j.Phase == api.Cancelled:
 				if on > 0 {
 					t.Fatalf("%s is cancelled and has %d tasks", id, on)
 				}
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -131,13 +131,13 @@
 
 // Machine is a machine's record: which part it belongs to, and what it is.
 type Machine struct {
-	Part    string `json:"p"`
-	Build   string `json:"b"`
-	Site    string `json:"s"`
-	Loaners bool   `json:"l,omitempty"`
-	Addr    string `json:"a,omitempty"`
-	For     string `json:"f,omitempty"` // the part that rented it for its jobs
-	AtMS    int64  `json:"at"`          // time of day when it was recorded
+	Part  string `json:"p"`
+	Build string `json:"b"`
+	Site  string `json:"s"`
+	Spot  bool   `json:"l,omitempty"`
+	Addr  string `json:"a,omitempty"`
+	For   string `json:"f,omitempty"` // the part that rented it for its jobs
+	AtMS  int64  `json:"at"`          // time of day when it was recorded
 }
 
 // Page is the record of the machines whose names differ only in their last
@@ -152,11 +152,11 @@
 	Held map[string][3]float64 `json:"u"`
 }
 
-// BatonOf gives the token of a term after so many raises. Terms rise globally,
+// TokenOf gives the token of a term after so many raises. Terms rise globally,
 // so every token of a later term is above all of an earlier one; within its
 // term an owner raises a worker's token to have it report, or to see that it
 // hears.
-func BatonOf(term, raises uint64) uint64 { return term<<raiseBits | min(raises, 1<<raiseBits-1) }
+func TokenOf(term, raises uint64) uint64 { return term<<raiseBits | min(raises, 1<<raiseBits-1) }
 
 // TermOf gives the term of a token.
 func TermOf(baton uint64) uint64 { return baton >> raiseBits }
@@ -231,9 +231,9 @@
 	return &Session{Term: term, Since: now, Answered: answered, Releases: map[string]Release{}, Errors: map[string]bool{}, Started: map[string]Start{}, Sent: map[string]Sent{}}
 }
 
-// Baton is the token for answers to this worker: the highest that it can have
+// Token is the token for answers to this worker: the highest that it can have
 // seen from us, or it would drop the answer.
-func (s *Session) Baton() uint64 { return BatonOf(s.Term, s.Raises) }
+func (s *Session) Token() uint64 { return TokenOf(s.Term, s.Raises) }
 
 // Raise raises the worker's token, which its next answer or command brings.
 func (s *Session) Raise(now time.Time) { s.Raises++; s.RaisedAt = now }
@@ -254,7 +254,7 @@
 // may still be on its way.
 func (s *Session) Stale(c *api.Checkin, now time.Time, flight time.Duration) bool {
 	return s.Last != [2]uint64{} && !c.Newer(s.Last[0], s.Last[1]) ||
-		s.Fenced && TermOf(c.Baton) < s.Term && now.Sub(s.FencedAt) > flight
+		s.Fenced && TermOf(c.Token) < s.Term && now.Sub(s.FencedAt) > flight
 }
 
 // Accept takes what a worker reports if it can be believed: made after the
@@ -262,22 +262,22 @@
 // a cut since before our predecessor's last commands, so it shows nothing about
 // now. The newest is kept, be it a report or the answer to a direct command.
 func (s *Session) Accept(c *api.Checkin, now time.Time) bool {
-	if TermOf(c.Baton) != s.Term {
+	if TermOf(c.Token) != s.Term {
 		return false
 	}
-	if s.Report != nil && c.Tenure > s.Report.Tenure && !s.Deaf {
+	if s.Report != nil && c.Session > s.Report.Session && !s.Deaf {
 		// Its lease ran out although we answered, or could have: perhaps it
 		// hears nothing. Only a token raised from now on shows that it does.
 		s.Deaf = true
 		s.Raise(now)
-	} else if s.Deaf && c.Baton >= s.Baton() {
+	} else if s.Deaf && c.Token >= s.Token() {
 		s.Deaf = false
 	}
 	s.Unheard = 0
 	if !s.Fenced {
 		s.Fenced, s.FencedAt = true, now
 	}
-	if s.Report == nil || c.Newer(s.Report.Tenure, s.Report.Tick) {
+	if s.Report == nil || c.Newer(s.Report.Session, s.Report.Tick) {
 		s.Report = c
 	}
 	return true
--- a/internal/part/part_test.go
+++ b/internal/part/part_test.go
@@ -55,7 +55,7 @@
 func TestBaton(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		term := rapid.Uint64Range(1, 1<<40).Draw(t, "term")
-		a, b := BatonOf(term, rapid.Uint64().Draw(t, "raises")), BatonOf(term+1, 0)
+		a, b := TokenOf(term, rapid.Uint64().Draw(t, "raises")), TokenOf(term+1, 0)
 		if TermOf(a) != term || TermOf(b) != term+1 || a >= b {
 			t.Fatalf("%d %d", a, b)
 		}
@@ -68,7 +68,7 @@
 	now := time.Unix(0, 0)
 	s := NewSession(7, now, now)
 	report := func(tenure, tick uint64) {
-		s.Accept(&api.Checkin{Tenure: tenure, Tick: tick, Baton: BatonOf(7, 0)}, now)
+		s.Accept(&api.Checkin{Session: tenure, Tick: tick, Token: TokenOf(7, 0)}, now)
 	}
 	report(1, 1)
 	report(1, 2)
@@ -77,10 +77,10 @@
 	}
 	report(2, 3)
 	report(2, 4)
-	if !s.Deaf || s.Baton() <= BatonOf(7, 0) {
+	if !s.Deaf || s.Token() <= TokenOf(7, 0) {
 		t.Fatal("its lease ran out and it counts as one that hears")
 	}
-	s.Accept(&api.Checkin{Tenure: 2, Tick: 5, Baton: s.Baton()}, now)
+	s.Accept(&api.Checkin{Session: 2, Tick: 5, Token: s.Token()}, now)
 	if s.Deaf {
 		t.Fatal("deaf although it has seen the raised token")
 	}
@@ -98,7 +98,7 @@
 			now = now.Add(time.Second)
 			if len(old) > 0 && rapid.Bool().Draw(t, "copy") {
 				if c := rapid.SampledFrom(old).Draw(t, "which"); !s.Stale(c, now, 0) {
-					t.Fatalf("copy of %d/%d is taken", c.Tenure, c.Tick)
+					t.Fatalf("copy of %d/%d is taken", c.Session, c.Tick)
 				}
 				continue
 			}
@@ -106,7 +106,7 @@
 			if rapid.IntRange(0, 5).Draw(t, "lease") == 0 {
 				tenure++
 			}
-			c := &api.Checkin{Tenure: tenure, Tick: tick, Baton: BatonOf(7, s.Raises)}
+			c := &api.Checkin{Session: tenure, Tick: tick, Token: TokenOf(7, s.Raises)}
 			if s.Stale(c, now, 0) {
 				t.Fatal("a new report is stale")
 			}
@@ -116,7 +116,7 @@
 			}
 			old = append(old, c)
 		}
-		if s.Accept(&api.Checkin{Tenure: tenure, Tick: tick + 1, Baton: BatonOf(6, 9)}, now) {
+		if s.Accept(&api.Checkin{Session: tenure, Tick: tick + 1, Token: TokenOf(6, 9)}, now) {
 			t.Fatal("a report of an earlier term is believed")
 		}
 	})
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -58,7 +58,7 @@
 func Slots(hosts []*Host, a *Ask, most int) int {
 	n := 0
 	for _, h := range hosts {
-		if !a.Allows(h.Build, h.Site, h.Loaners) {
+		if !a.Allows(h.Build, h.Site, h.Spot) {
 			continue
 		}
 		for free := h.Free; n < most && free.Fits(a.Need); n++ {
@@ -117,7 +117,7 @@
 	}
 	var best *Host
 	for _, h := range hosts {
-		if !h.Free.Fits(a.Need) || !a.Allows(h.Build, h.Site, h.Loaners) {
+		if !h.Free.Fits(a.Need) || !a.Allows(h.Build, h.Site, h.Spot) {
 			continue
 		}
 		if best == nil {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -33,7 +33,7 @@
 // Host is a machine as a decision sees it.
 type Host struct {
 	Name, Part, Build, Site string
-	Loaners                 bool
+	Spot                    bool
 	Cap, Free               Room
 	Warm                    map[string]bool // images that it likely has
 	Daemons, Sweeps         int             // tasks on it, by their jobs' shape
@@ -42,22 +42,22 @@
 
 // Ask is what one task of a job asks of a machine.
 type Ask struct {
-	Need    Room
-	Builds  []string // nil: any
-	Site    string   // "": any
-	Loaners bool     // spot machines will do
-	Bundle  string
-	Daemon  bool                   // a service's replica
-	PullS   float64                // seconds that fetching its image takes
-	Warm    bool                   // fetching its image would miss its aim
-	Has     bool                   // only a machine that has its image will do
-	ZoneOK  func(site string) bool // what the job's other tasks leave; nil: any
+	Need   Room
+	Builds []string // nil: any
+	Site   string   // "": any
+	Spot   bool     // spot machines will do
+	Bundle string
+	Daemon bool                   // a service's replica
+	PullS  float64                // seconds that fetching its image takes
+	Warm   bool                   // fetching its image would miss its aim
+	Has    bool                   // only a machine that has its image will do
+	ZoneOK func(site string) bool // what the job's other tasks leave; nil: any
 }
 
 // Allows tells whether the machine is one the task may run on, room aside.
 func (a *Ask) Allows(build, site string, loaners bool) bool {
 	return (a.Builds == nil || slices.Contains(a.Builds, build)) && (a.Site == "" || a.Site == site) &&
-		(a.Loaners || !loaners) && (a.ZoneOK == nil || a.ZoneOK(site))
+		(a.Spot || !loaners) && (a.ZoneOK == nil || a.ZoneOK(site))
 }
 
 // left measures how empty a machine would be after taking the task: the larger
@@ -104,13 +104,13 @@
 			return strangers(h, a) == 0
 		case h.Warm[a.Bundle] != best.Warm[a.Bundle]:
 			return h.Warm[a.Bundle]
-		case h.Loaners != best.Loaners:
-			return h.Loaners
+		case h.Spot != best.Spot:
+			return h.Spot
 		}
 		return h.Name < best.Name
 	}
 	for _, h := range hosts {
-		if a.Has && !h.Warm[a.Bundle] || !h.Free.Fits(a.Need) || !a.Allows(h.Build, h.Site, h.Loaners) {
+		if a.Has && !h.Warm[a.Bundle] || !h.Free.Fits(a.Need) || !a.Allows(h.Build, h.Site, h.Spot) {
 			continue
 		}
 		if l := left(h, a.Need); better(h, l) {
--- a/internal/sched/rent.go
+++ b/internal/sched/rent.go
@@ -5,7 +5,7 @@
 // Offer is a machine type in one zone, ordinary or spot, that can be rented.
 type Offer struct {
 	Build, Site string
-	Loaners     bool
+	Spot        bool
 	Cap         Room
 	Price       float64
 }
@@ -42,7 +42,7 @@
 				if o == nil {
 					break
 				}
-				h = &Host{Name: "new", Build: o.Build, Site: o.Site, Loaners: o.Loaners, Cap: o.Cap, Free: o.Cap}
+				h = &Host{Name: "new", Build: o.Build, Site: o.Site, Spot: o.Spot, Cap: o.Cap, Free: o.Cap}
 				hosts = append(hosts, h)
 				k := slices.IndexFunc(orders, func(x Order) bool { return x.Offer == *o })
 				if k < 0 {
@@ -100,7 +100,7 @@
 	var bestCost float64
 	for i := range offers {
 		o := &offers[i]
-		if !o.Cap.Fits(a.Need) || !a.Allows(o.Build, o.Site, o.Loaners) {
+		if !o.Cap.Fits(a.Need) || !a.Allows(o.Build, o.Site, o.Spot) {
 			continue
 		}
 		cost := o.Price / fitCount(o.Cap, a.Need)
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -20,7 +20,7 @@
 	for i := range rapid.IntRange(0, 6).Draw(t, "hosts") {
 		c := Room{8, 4, 8}
 		out = append(out, &Host{Name: fmt.Sprint("h", i), Build: "m", Site: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "site"),
-			Loaners: rapid.Bool().Draw(t, "spot"), Cap: c, Free: c.Sub(room(t, "used", 8)), Daemons: rapid.IntRange(0, 1).Draw(t, "daemons")})
+			Spot: rapid.Bool().Draw(t, "spot"), Cap: c, Free: c.Sub(room(t, "used", 8)), Daemons: rapid.IntRange(0, 1).Draw(t, "daemons")})
 	}
 	return out
 }
@@ -30,10 +30,10 @@
 func TestFullestFit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		hosts := someHosts(t)
-		a := &Ask{Need: room(t, "need", 6), Loaners: rapid.Bool().Draw(t, "loaners"), Site: rapid.SampledFrom([]string{"", "x"}).Draw(t, "asked")}
+		a := &Ask{Need: room(t, "need", 6), Spot: rapid.Bool().Draw(t, "loaners"), Site: rapid.SampledFrom([]string{"", "x"}).Draw(t, "asked")}
 		got := FullestFit(hosts, a)
 		for _, h := range hosts {
-			fits := h.Free.Fits(a.Need) && (a.Loaners || !h.Loaners) && (a.Site == "" || a.Site == h.Site)
+			fits := h.Free.Fits(a.Need) && (a.Spot || !h.Spot) && (a.Site == "" || a.Site == h.Site)
 			if got == h && !fits {
 				t.Fatalf("%+v does not fit", *h)
 			}
@@ -48,7 +48,7 @@
 func TestChooseOwnPartFirst(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		parts := map[string][]*Host{"own": someHosts(t), "p": someHosts(t), "q": someHosts(t)}
-		a := &Ask{Need: room(t, "need", 6), Loaners: true}
+		a := &Ask{Need: room(t, "need", 6), Spot: true}
 		seed := rapid.Uint64().Draw(t, "seed")
 		got := Choose(parts, "own", a, rand.New(rand.NewPCG(seed, 1)))
 		own := FullestFit(parts["own"], a)
@@ -99,7 +99,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		c := Room{4, 2, 8}
 		offers := []Offer{{"m", "x", false, c, 3}, {"m", "x", true, c, 1}, {"m", "y", false, c, 3}}
-		u := []Unmet{{Ask: Ask{Need: Room{1, 1, 1}, Loaners: rapid.Bool().Draw(t, "loaners")}, Count: rapid.IntRange(0, 9).Draw(t, "count")}}
+		u := []Unmet{{Ask: Ask{Need: Room{1, 1, 1}, Spot: rapid.Bool().Draw(t, "loaners")}, Count: rapid.IntRange(0, 9).Draw(t, "count")}}
 		coming := []*Host{}
 		for range rapid.IntRange(0, 2).Draw(t, "coming") {
 			coming = append(coming, &Host{Name: "c", Build: "m", Site: "x", Cap: c, Free: c})
@@ -108,7 +108,7 @@
 		n := 0
 		for _, o := range Plan(u, coming, offers, "y") {
 			n += o.Count
-			if o.Offer.Loaners != u[0].Ask.Loaners || !o.Offer.Loaners && o.Offer.Site != "y" {
+			if o.Offer.Spot != u[0].Ask.Spot || !o.Offer.Spot && o.Offer.Site != "y" {
 				t.Fatalf("not the cheapest, or not at home: %+v", o)
 			}
 		}
--- a/internal/standin/machines.go
+++ b/internal/standin/machines.go
@@ -75,8 +75,8 @@
 	for range r.HowMany {
 		name := fmt.Sprintf("i-%06d", c.C.n)
 		c.C.n++
-		c.C.Hosts[name] = &Worker{w: c.C.w, Host: name, Addr: "10.1.0.1:" + name, Build: r.Build, Site: r.Site, Loaners: r.Loaners,
-			Tenure: 1, upAt: c.C.w.Now.Add(c.C.w.Flavor.Boot), rented: c.C.w.Now}
+		c.C.Hosts[name] = &Worker{w: c.C.w, Host: name, Addr: "10.1.0.1:" + name, Build: r.Build, Site: r.Site, Spot: r.Spot,
+			Session: 1, upAt: c.C.w.Now.Add(c.C.w.Flavor.Boot), rented: c.C.w.Now}
 		out = append(out, name)
 	}
 	c.C.hires[r.Hire] = out
@@ -117,7 +117,7 @@
 		if x.upAt.After(then) {
 			phase = "starting"
 		}
-		out = append(out, cloud.Host{UID: x.Host, Addr: x.Addr, Build: x.Build, Site: x.Site, Loaners: x.Loaners, Phase: phase, HeldS: then.Sub(x.rented).Seconds()})
+		out = append(out, cloud.Host{UID: x.Host, Addr: x.Addr, Build: x.Build, Site: x.Site, Spot: x.Spot, Phase: phase, HeldS: then.Sub(x.rented).Seconds()})
 	}
 	for _, x := range c.C.Hosts {
 		show(x)
@@ -138,8 +138,8 @@
 type Worker struct {
 	w                       *World
 	Host, Addr, Build, Site string
-	Loaners                 bool
-	Tenure, Tick, Baton     uint64
+	Spot                    bool
+	Session, Tick, Token    uint64
 	Tasks                   []*Task
 	Node                    int  // the controller it reports to
 	Cut                     bool // no message passes, either way
@@ -186,7 +186,7 @@
 	}
 	if x.w.Now.Sub(last) > x.w.Lease {
 		x.Tasks = nil
-		x.Tenure++
+		x.Session++
 		x.session, x.renewed = x.w.Now, time.Time{}
 		return
 	}
@@ -238,7 +238,7 @@
 // Report makes a report.
 func (x *Worker) Report() *api.Checkin {
 	x.Tick++
-	c := &api.Checkin{Host: x.Host, Addr: x.Addr, Build: x.Build, Site: x.Site, Loaners: x.Loaners, Tenure: x.Tenure, Tick: x.Tick, Baton: x.Baton, RecallS: x.RecallS, Pieces: []api.PieceState{}}
+	c := &api.Checkin{Host: x.Host, Addr: x.Addr, Build: x.Build, Site: x.Site, Spot: x.Spot, Session: x.Session, Tick: x.Tick, Token: x.Token, RecallS: x.RecallS, Pieces: []api.PieceState{}}
 	for _, t := range x.Tasks {
 		c.Pieces = append(c.Pieces, api.PieceState{Piece: api.PieceName(t.uid, t.index), Try: t.try, Phase: t.phase, Cause: t.cause, Saved: t.saved})
 	}
@@ -248,10 +248,10 @@
 // Answer takes in the answer to a report sent at the given time in the given
 // session.
 func (x *Worker) Answer(o api.Orders, sent time.Time, tenure uint64) {
-	if tenure != x.Tenure || o.Baton < x.Baton || o.Baton == 0 {
+	if tenure != x.Session || o.Token < x.Token || o.Token == 0 {
 		return
 	}
-	x.Baton = o.Baton
+	x.Token = o.Token
 	if sent.After(x.renewed) {
 		x.renewed = sent
 	}
@@ -353,9 +353,9 @@
 			continue
 		}
 		run := func() (*api.Checkin, bool) {
-			ok := o.Baton >= x.Baton && o.Tenure == x.Tenure
+			ok := o.Token >= x.Token && o.Session == x.Session
 			if ok {
-				x.Baton = o.Baton
+				x.Token = o.Token
 				x.execute(o.Orders)
 			}
 			return x.Report(), ok
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -120,7 +120,7 @@
 	if lim := w.Limits[r.Owner]; lim > 0 && used > lim+1e-6 {
 		w.Break("quota", "%s uses %g of %g", r.Owner, used, lim)
 	}
-	if r.Site != "" && r.Site != x.Site || x.Loaners && !r.Loaners || r.Builds != nil && !slices.Contains(r.Builds, x.Build) {
+	if r.Site != "" && r.Site != x.Site || x.Spot && !r.Spot || r.Builds != nil && !slices.Contains(r.Builds, x.Build) {
 		w.Break("wrong_place", "%s on %s", name, x.Host)
 	}
 	if r.Scatter && zones[x.Site]+1 > int(math.Ceil(float64(r.Pieces)/2)) {
@@ -152,7 +152,7 @@
 				w.Break("not_done", "%s with %d of %d tasks done", uid, len(j.Done), j.Run.Pieces)
 			}
 			j.Phase = phase
-		case api.Withdrawn:
+		case api.Cancelled:
 			if !j.AskedStop {
 				w.Break("went_back", "%s is cancelled without its user", uid)
 			}
