--- a/internal/controller/headroom.go
+++ b/internal/controller/headroom.go
@@ -59,21 +59,27 @@
 	return out
 }
 
-// headroom tells which tasks to keep room for that have not come yet: of lanes
-// whose jobs can't wait for a machine to boot, as many as arrivals fluctuate by
-// while one does. What ends in that time makes room for the average. Call with
-// the lock held.
-func (c *Controller) headroom(now time.Time) []wanted {
+// boot is how long the soonest machine takes to boot. Call with the lock held.
+func (c *Controller) boot() time.Duration {
 	startup := 0.0
 	for _, f := range c.flavors {
 		if startup == 0 || f.StartupS < startup {
 			startup = f.StartupS
 		}
 	}
-	if startup == 0 {
+	return time.Duration(startup * float64(time.Second))
+}
+
+// headroom tells which tasks to keep room for that have not come yet: of lanes
+// whose jobs can't wait for a machine to boot, as many as arrivals fluctuate by
+// while one does. What ends in that time makes room for the average. Call with
+// the lock held.
+func (c *Controller) headroom(now time.Time) []wanted {
+	boot := c.boot()
+	if boot == 0 {
 		return nil
 	}
-	boot := time.Duration(startup * float64(time.Second))
+	startup := boot.Seconds()
 	const windows = 4
 	var out []wanted
 	for lane, l := range c.arrivals {
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -260,6 +260,12 @@
 	}
 	var back []string
 	view := &idleView{c: c, now: now}
+	// What is idle or loose is judged against a plan of all machines, which is the dearest
+	// thing that a controller works out. Against a boot it may wait a little.
+	judge := now.Sub(c.judgedAt) >= c.boot()/16
+	if judge {
+		c.judgedAt = now
+	}
 	for host, m := range c.m.hosts {
 		o := c.owned(m.Part)
 		rec := c.m.parts[m.Part].v
@@ -275,7 +281,9 @@
 		if !s.Fenced && !c.booting[host] {
 			c.fence(ctx, host)
 		}
-		c.judge(host, m, s, view)
+		if judge {
+			c.judge(host, m, s, view)
+		}
 		_, offered := rec.Free[host]
 		silent := now.Sub(s.Seen) > 2*c.cfg.Report()
 		switch {
@@ -314,9 +322,10 @@
 type idleView struct {
 	c     *Controller
 	now   time.Time
-	hosts []*sched.Host   // with the room that is left after what is to be placed
-	spare map[string]bool // idle ones that the head-room needs
-	kept  map[string]bool // those that wait for the rest of a gang's room
+	hosts []*sched.Host            // with the room that is left after what is to be placed
+	sites map[string][]*sched.Host // by zone, those of them with replicas
+	spare map[string]bool          // idle ones that the head-room needs
+	kept  map[string]bool          // those that wait for the rest of a gang's room
 }
 
 func (v *idleView) left() []*sched.Host {
@@ -327,6 +336,49 @@
 	return v.hosts
 }
 
+// replicas gives the machines with replicas in a zone.
+func (v *idleView) replicas(site string) []*sched.Host {
+	if v.sites == nil {
+		v.sites = map[string][]*sched.Host{}
+		for _, h := range v.left() {
+			if h.Daemons > 0 {
+				v.sites[h.Site] = append(v.sites[h.Site], h)
+			}
+		}
+	}
+	return v.sites[site]
+}
+
+// fitElsewhere tells whether the tasks would all fit on other machines with replicas in
+// the zone that have their images. It leaves the view as it was.
+func (v *idleView) fitElsewhere(host, site string, asks []sched.Ask) bool {
+	others := v.replicas(site)
+	var was []sched.Host // as they were, with what was tried on them
+	var tried []*sched.Host
+	put := func(h *sched.Host, free sched.Room) {
+		was, tried = append(was, *h), append(tried, h)
+		h.Free = free
+	}
+	defer func() {
+		for i := len(tried) - 1; i >= 0; i-- {
+			*tried[i] = was[i]
+		}
+	}()
+	for _, h := range others {
+		if h.Name == host {
+			put(h, sched.Room{})
+		}
+	}
+	for i := range asks {
+		h := sched.FullestFit(others, &asks[i])
+		if h == nil || !h.Warm[asks[i].Bundle] {
+			return false
+		}
+		put(h, h.Free.Sub(asks[i].Need))
+	}
+	return true
+}
+
 // isSpare tells whether a machine is part of the head-room.
 func (v *idleView) isSpare(host string) bool {
 	if v.spare == nil {
@@ -407,20 +459,9 @@
 	if !cp.Fits(used.Times(2)) {
 		return false
 	}
-	var others []*sched.Host
-	for _, h := range view.left() {
-		if h.Name != host && h.Daemons > 0 && h.Site == m.Site {
-			x := *h
-			others = append(others, &x)
-		}
-	}
+	var asks []sched.Ask
 	for _, pl := range c.m.onHost[host] {
-		a := askOf(&c.m.jobs[pl.uid].main.Run)
-		h := sched.FullestFit(others, &a)
-		if h == nil || !h.Warm[a.Bundle] {
-			return false
-		}
-		h.Free = h.Free.Sub(a.Need)
+		asks = append(asks, askOf(&c.m.jobs[pl.uid].main.Run))
 	}
-	return !view.isSpare(host)
+	return view.fitElsewhere(host, m.Site, asks) && !view.isSpare(host)
 }
