--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -4,14 +4,17 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
 	"violetturn/internal/api"
 	"violetturn/internal/cloud"
 	"violetturn/internal/config"
+	"violetturn/internal/httpwire"
 	"violetturn/internal/job"
 	"violetturn/internal/part"
+	"violetturn/internal/store"
 )
 
 // sized gives a controller that mirrors and owns a part of so many machines, all
@@ -22,7 +25,7 @@
 	c := newController(cfg, config.DefaultPolicy(), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	now := time.Unix(1_800_000_000, 0)
 	c.now = func() time.Time { return now }
-	c.loaded, c.permit, c.validTil = true, 1, now.Add(time.Hour)
+	c.loaded, c.permit, c.validTil, c.seen = true, 1, now.Add(time.Hour), now
 	c.flavors = []cloud.Flavor{{Label: "m", CPUs: 16, GPUs: 2, MemGB: 128, PullGBPerS: 1, Price: 3, MarketPrice: 1, StartupS: 60, Sites: zones}}
 	stamp := uint64(1)
 	apply := func(key string, v any) {
@@ -90,3 +93,79 @@
 		c.orders(s.Report, s, c.now())
 	}
 }
+
+// BenchmarkReport is one report from its body to the answer's: its JSON, the judgement,
+// the orders.
+func BenchmarkReport(b *testing.B) {
+	c := sized(800, 80)
+	x := &api.Checkin{Host: "i-000009", Build: "m", Site: "x", Session: 1, Token: c.sessions["i-000009"].Token()}
+	for _, pl := range c.m.onHost[x.Host] {
+		x.Pieces = append(x.Pieces, api.PieceState{Piece: pl.name(c.m.jobs[pl.uid]), Try: pl.p.Try, Phase: api.Running})
+	}
+	b.ReportAllocs()
+	for range b.N {
+		x.Tick++
+		if r := c.checkin(&httpwire.Message{Method: "POST", Target: "/checkin", Body: api.JSON(x)}); r.Status != 200 {
+			b.Fatal(r.Status)
+		}
+	}
+}
+
+// BenchmarkLoad is what a start, or a return after changes were missed, takes in: all
+// records of a fleet.
+func BenchmarkLoad(b *testing.B) {
+	for _, n := range []int{50, 900, 2700} {
+		c := sized(n, n/10)
+		var items []store.Item
+		for key, stamp := range c.m.stamps {
+			var v any
+			switch {
+			case strings.HasPrefix(key, jobKey):
+				v = c.m.jobs[key[len(jobKey):]].main
+			case strings.HasPrefix(key, pageKey):
+				v = c.m.pages[key[len(pageKey):]].v
+			case strings.HasPrefix(key, partKey):
+				v = c.m.parts[key[len(partKey):]].v
+			default:
+				continue
+			}
+			items = append(items, store.Item{Key: key, Value: api.JSON(v), Stamp: stamp})
+		}
+		b.Run(fmt.Sprintf("machines=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				newMirror(c.log, func(*job.Main) {}, func(string) {}).reload(items, c.m.epoch+1)
+			}
+		})
+	}
+}
+
+// BenchmarkJudge is a round of judging which machines go back, where every second one has
+// one replica that may fit elsewhere.
+func BenchmarkJudge(b *testing.B) {
+	for _, n := range []int{50, 900, 2700} {
+		c := sized(n, 0)
+		for _, j := range c.m.jobs {
+			j.main.Run.Shape = api.Daemon
+			for _, p := range j.chunks[0].v.Places {
+				p.AtS = -3600
+			}
+			for i := range j.chunks[0].v.Places {
+				if i%4 > 0 {
+					c.m.unplace(j.main.Run.UID, 0, i, j.chunks[0].v.Places[i])
+				}
+			}
+		}
+		clear(c.m.loads)
+		b.Run(fmt.Sprintf("machines=%d", n), func(b *testing.B) {
+			for range b.N {
+				v := &idleView{c: c, now: c.now()}
+				for host, m := range c.m.hosts {
+					s := c.sessions[host]
+					s.Loose = time.Time{}
+					c.judge(host, m, s, v)
+				}
+			}
+		})
+	}
+}
