--- a/cmd/violetturn/main.go
+++ b/cmd/violetturn/main.go
@@ -63,8 +63,8 @@
 	}
 	// One core's share and little memory: one running thread, and a collector
 	// that works harder before the limit instead of being killed at it.
-	runtime.GOMAXPROCS(max(1, int(cfg.Facts.Limits.Cores+0.5)))
-	debug.SetMemoryLimit(int64(cfg.Facts.Limits.MemoryMB * 0.7 * (1 << 20)))
+	runtime.GOMAXPROCS(cfg.Processors(runtime.NumCPU()))
+	debug.SetMemoryLimit(cfg.MemoryTarget())
 	// What lives is small against the limit, and plans make much that is soon
 	// garbage: collecting a quarter as often saves processor time, of which there
 	// is less. The limit above still holds.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -158,6 +158,17 @@
 	if err := f.State.check("facts.state"); err != nil {
 		return err
 	}
+	l := &f.Limits
+	if !(l.Cores >= 0) || math.IsInf(l.Cores, 0) {
+		return fmt.Errorf("facts.machine_limits.cores: must be a number of at least 0")
+	}
+	if l.MemoryMB < leastMB {
+		return fmt.Errorf("facts.machine_limits.memory_mb: %g, the service needs at least %d", l.MemoryMB, leastMB)
+	}
+	// A sixteenth of the sockets takes the other controllers' connections.
+	if need := max(leastSockets, 16*len(s.Members)); l.MaxSockets < need {
+		return fmt.Errorf("facts.machine_limits.max_sockets: %d, the service needs at least %d with so many controllers", l.MaxSockets, need)
+	}
 	if n := f.State.Next; n != nil {
 		// A limit that is not named stays as it is; one that is named has to be one
 		// that the service can work under.
@@ -213,6 +224,26 @@
 	leastKB  = 1
 )
 
+// The least that a controller of any deployment takes: its program and an empty mirror,
+// and some connections of each kind.
+const (
+	leastMB      = 16
+	leastSockets = 64
+)
+
+// Processors is how many processors the process uses at once: one if the settings name
+// no cores, and never more than there are.
+func (s *Settings) Processors(have int) int {
+	return max(1, int(min(s.Facts.Limits.Cores+0.5, float64(have))))
+}
+
+// MemoryTarget is how much memory, in bytes, the collector keeps the heap and all else
+// that it knows of below: the limit counts the whole process, stacks and buffers included.
+func (s *Settings) MemoryTarget() int64 {
+	const most = 1 << 40 // beyond any machine, and below what a conversion can't hold
+	return int64(min(s.Facts.Limits.MemoryMB, most/(1<<20)) * 0.7 * (1 << 20))
+}
+
 func (l *StateLimits) check(name string) error {
 	if l.TxnOps < leastOps {
 		return fmt.Errorf("%s.txn_ops: %d, the service needs at least %d changes in one transaction", name, l.TxnOps, leastOps)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -52,18 +52,23 @@
 		t.Error("team a")
 	}
 	for field, change := range map[string][2]string{
-		"host_name":                        {`host_name = "n0"`, ``},
-		"serve_on":                         {`serve_on = "127.0.0.1:1"`, `serve_on = "nowhere"`},
-		"members[0].host_name":             {`host_name = "n1"`, `host_name = "n0"`},
-		"facts.size":                       {`size = 2`, `size = 3`},
-		"facts.zones":                      {`zones = ["x", "y"]`, ``},
-		"facts.workers.lease_s":            {`lease_s = 10.0`, `lease_s = 1.0`},
-		"facts.state.rps":                  {"rps = 120.0", "rps = -1.0"},
-		"facts.state.txn_ops":              {"txn_ops = 8", "txn_ops = 2"},
-		"facts.state.value_kb":             {"value_kb = 4.0", "value_kb = nan"},
-		"facts.machine_limits.max_sockets": {"max_sockets = 900", ""},
-		"facts.teams[0]":                   {"gpus = 2.0", "gpus = inf"},
-		"not valid":                        {"size = 2", "size = "},
+		"host_name":                            {`host_name = "n0"`, ``},
+		"serve_on":                             {`serve_on = "127.0.0.1:1"`, `serve_on = "nowhere"`},
+		"members[0].host_name":                 {`host_name = "n1"`, `host_name = "n0"`},
+		"facts.size":                           {`size = 2`, `size = 3`},
+		"facts.zones":                          {`zones = ["x", "y"]`, ``},
+		"facts.workers.lease_s":                {`lease_s = 10.0`, `lease_s = 1.0`},
+		"facts.state.rps":                      {"rps = 120.0", "rps = -1.0"},
+		"facts.state.txn_ops":                  {"txn_ops = 8", "txn_ops = 2"},
+		"facts.state.value_kb":                 {"value_kb = 4.0", "value_kb = nan"},
+		"facts.machine_limits.max_sockets":     {"max_sockets = 900", ""},
+		"facts.machine_limits.cores":           {"cores = 0.1", "cores = -1.0"},
+		"facts.machine_limits.memory_mb":       {"memory_mb = 98.0", "memory_mb = 0.5"},
+		"facts.machine_limits.memory_mb: m":    {"memory_mb = 98.0", ""},
+		"facts.machine_limits.max_sockets: 9,": {"max_sockets = 900", "max_sockets = 9"},
+		"facts.machine_limits.memory_mb: must": {"[facts.machine_limits]\ncores = 0.1\nmemory_mb = 98.0\nmax_sockets = 900\n", ""},
+		"facts.teams[0]":                       {"gpus = 2.0", "gpus = inf"},
+		"not valid":                            {"size = 2", "size = "},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, change[0], change[1], 1)))
 		if err == nil || !strings.HasPrefix(err.Error(), field) || strings.Contains(err.Error(), "\n") {
@@ -72,6 +77,35 @@
 	}
 }
 
+// What the machine has is used within bounds, however odd the settings: no cores named is
+// one, absurdly many are those there are, and a memory limit beyond any machine is no
+// conversion's overflow.
+func TestMachineLimits(t *testing.T) {
+	for _, x := range []struct {
+		from, to string
+		cpus     int
+	}{
+		{"cores = 0.1", "cores = 0.1", 1},
+		{"cores = 0.1", "", 1},
+		{"cores = 0.1", "cores = 0", 1},
+		{"cores = 0.1", "cores = 2.6", 3},
+		{"cores = 0.1", "cores = 1e300", 8},
+		{"memory_mb = 98.0", "memory_mb = 1e300", 1},
+	} {
+		s, err := Parse([]byte(strings.Replace(good, x.from, x.to, 1)))
+		if err != nil {
+			t.Errorf("%s: %v", x.to, err)
+			continue
+		}
+		if got := s.Processors(8); got != x.cpus {
+			t.Errorf("%s: %d processors", x.to, got)
+		}
+		if m := s.MemoryTarget(); m <= 0 || m > 1<<40 || float64(m) > s.Facts.Limits.MemoryMB*(1<<20) {
+			t.Errorf("%s: memory target %d", x.to, m)
+		}
+	}
+}
+
 // Coming limits are checked like today's. What they don't name stays, and nothing is
 // made larger than both allow.
 func TestComingLimits(t *testing.T) {
