--- a/internal/controller/meet_test.go
+++ b/internal/controller/meet_test.go
@@ -1,11 +1,13 @@
 package controller
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"violetturn/internal/api"
+	"violetturn/internal/config"
 	"violetturn/internal/standin"
 )
 
@@ -790,3 +792,27 @@
 		}
 	}
 }
+
+// recorder keeps what a checker would fail with.
+type recorder []string
+
+func (r *recorder) Fatalf(format string, args ...any) {
+	*r = append(*r, fmt.Sprintf(format, args...))
+}
+
+// The checker of odd requests catches: a controller that knows a team too many, or a
+// machine type that there is not, accepts what can't run.
+func TestOddCatches(t *testing.T) {
+	for what, plant := range map[string]func(c *Controller){
+		"":              func(*Controller) {},
+		"a team":        func(c *Controller) { c.cfg.Facts.Teams = append(c.cfg.Facts.Teams, config.Team{Name: "nobody"}) },
+		"a large build": func(c *Controller) { c.flavors[0].GPUs = 100 },
+	} {
+		s := warmSim()
+		plant(s.nodes[1].c)
+		var caught recorder
+		if s.odd(&caught, 1); len(caught) > 0 != (what != "") {
+			t.Errorf("planted %q: %v", what, caught)
+		}
+	}
+}
