--- a/internal/controller/meet_test.go
+++ b/internal/controller/meet_test.go
@@ -816,3 +816,29 @@
 		}
 	}
 }
+
+// Jobs of two or three tasks end far apart across a change of leader: the ends that were
+// not committed yet are found by the next one, and the job is known to be done at once
+// when its last task is.
+func TestMeetEndsFarApart(t *testing.T) {
+	for _, pieces := range []int{2, 3} {
+		s := warmSim()
+		id := s.array(pieces, 3*time.Second, nil)
+		s.w.Jobs[id].Step = 12 * time.Second
+		s.rounds(t, 80, "the first has ended", func() bool { return len(s.w.Jobs[id].Done) == 1 })
+		leader, _ := s.served(t, id)
+		s.start(leader) // its release of the first is forgotten
+		s.pass(t, 8)
+		s.nodes[leader].up = false
+		s.rounds(t, 80, "all have ended", func() bool { return len(s.w.Jobs[id].Done) == pieces })
+		s.rounds(t, 8, "known to be done", func() bool {
+			for i, n := range s.nodes {
+				if n.up {
+					s.poll(i, id)
+				}
+			}
+			return s.w.Jobs[id].Phase == api.Done
+		})
+		s.finish(t)
+	}
+}
