--- a/internal/controller/meet_test.go
+++ b/internal/controller/meet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -842,3 +843,22 @@
 		s.finish(t)
 	}
 }
+
+// A job that is over, asked about by a repetition that is longer than a record may be, is
+// answered with its state by a controller that remembers nothing of it.
+func TestLongRepetitionOfKnownJob(t *testing.T) {
+	s := warmSim()
+	id := s.array(1, time.Second, nil)
+	s.rounds(t, 80, "done", s.done(id))
+	s.start(1)
+	s.pass(t, 6)
+	r := s.w.Jobs[id].Run
+	r.Bundle = strings.Repeat("x", 4000)
+	if got := s.nodes[1].c.submit(t.Context(), submission(&r)); got.Status != 200 {
+		t.Errorf("answered %d", got.Status)
+	}
+	r.UID = "run-999999"
+	if got := s.nodes[1].c.submit(t.Context(), submission(&r)); got.Status != 400 {
+		t.Errorf("one that nobody knows is answered %d", got.Status)
+	}
+}
