--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -142,22 +142,16 @@
 	return c.do(ctx, "POST", "/rentals/return", map[string][]string{"hosts": hosts}, nil)
 }
 
-// List reads all rented machines.
-func (c *Client) List(ctx context.Context) ([]Host, error) {
-	var all []Host
-	since := ""
-	for {
-		var a struct {
-			Hosts     []Host `json:"hosts"`
-			Truncated bool   `json:"truncated"`
-		}
-		if err := c.do(ctx, "GET", "/rentals?since="+url.QueryEscape(since)+"&limit=500", nil, &a); err != nil {
-			return nil, err
-		}
-		all = append(all, a.Hosts...)
-		if !a.Truncated || len(a.Hosts) == 0 {
-			return all, nil
-		}
-		since = a.Hosts[len(a.Hosts)-1].UID
+// Page reads the machines whose names come after since, MaxPage at most. truncated tells
+// that there are more.
+func (c *Client) Page(ctx context.Context, since string) (hosts []Host, truncated bool, err error) {
+	var a struct {
+		Hosts     []Host `json:"hosts"`
+		Truncated bool   `json:"truncated"`
+	}
+	target := fmt.Sprintf("/rentals?since=%s&limit=%d", url.QueryEscape(since), MaxPage)
+	if err := c.do(ctx, "GET", target, nil, &a); err != nil {
+		return nil, false, err
 	}
+	return a.Hosts, a.Truncated, nil
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -44,7 +44,7 @@
 		MachineTypes(ctx context.Context) ([]cloud.MachineType, error)
 		Rent(ctx context.Context, r cloud.Rental) ([]string, error)
 		Return(ctx context.Context, hosts []string) error
-		List(ctx context.Context) ([]cloud.Host, error)
+		Page(ctx context.Context, since string) (hosts []cloud.Host, truncated bool, err error)
 	}
 	workerService interface {
 		Command(ctx context.Context, addr string, o api.Response) (*api.Report, bool, error)
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -20,17 +20,20 @@
 	}
 }
 
+// callsARound is how many calls of the cloud a round may take of each kind as a rule.
+const callsARound = 2
+
 // cloudPause is the time between two rounds of rentals: a few calls of this
 // controller's share of the cloud's rate, and short against a report round.
 func (c *Controller) cloudPause() time.Duration {
-	const calls = 2
 	share := c.cfg.Facts.Cloud.RPS / float64(c.cfg.Facts.Size)
-	return min(c.cfg.Report()/3, time.Duration(calls/share*float64(time.Second)))
+	return min(c.cfg.Report()/3, time.Duration(callsARound/share*float64(time.Second)))
 }
 
 // renting is what the cloud's rounds remember; only they use it.
 type renting struct {
 	flavorsAt, listAt time.Time
+	listing           cloud.Listing                // the list, as far as it has been read
 	inDoubt           map[sched.Offer]cloud.Rental // rentals without an answer, repeated under their names
 	seen              map[string]time.Time         // listed machines without a record, since when
 }
@@ -55,14 +58,29 @@
 			break
 		}
 	}
+	c.listStep(ctx, now)
+	c.returnRound(ctx)
+}
+
+// listStep reads what a round may read of the cloud's list, if it is time for one. A fleet
+// of some thousand machines takes several rounds.
+func (c *Controller) listStep(ctx context.Context, now time.Time) {
+	r := &c.renting
 	lag := time.Duration(c.cfg.Facts.Cloud.ListLagS * float64(time.Second))
-	if now.Sub(r.listAt) > max(lag, c.cfg.Report()) {
-		if l, err := c.cloud.List(ctx); err == nil {
-			r.listAt = now
-			c.listed(l, r.seen, lag)
-		}
+	if r.listing.Active() && now.Sub(r.listing.Began) > 4*max(lag, c.cfg.Report()) {
+		r.listing.Abandon() // the cloud did not answer meanwhile
+	}
+	if !r.listing.Active() && now.Sub(r.listAt) <= max(lag, c.cfg.Report()) {
+		return
+	}
+	hosts, complete, err := r.listing.Read(ctx, c.cloud, now, callsARound)
+	if err != nil {
+		c.log.Debug("list of machines not read", "err", err)
+	}
+	if complete {
+		r.listAt = now
+		c.listed(hosts, r.listing.Began, r.seen, lag)
 	}
-	c.returnRound(ctx)
 }
 
 // offers lists what can be rented, less what was refused lately. Call with the
@@ -261,7 +279,8 @@
 
 // listed takes in the cloud's list. It is late and may be older than the last
 // one, so it only raises questions; a return answers them.
-func (c *Controller) listed(l []cloud.Host, seen map[string]time.Time, lag time.Duration) {
+// Its first page was read at the time began.
+func (c *Controller) listed(l []cloud.Host, began time.Time, seen map[string]time.Time, lag time.Duration) {
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -305,7 +324,7 @@
 		// One that is listed stays so until it is gone, and a new one is listed
 		// after some time: what a late copy had recorded never is.
 		m := c.replica.hosts[host]
-		if _, ok := in[host]; !ok && m != nil && now.Sub(time.UnixMilli(m.AtMS)) > 4*lag+c.cfg.Report() {
+		if _, ok := in[host]; !ok && m != nil && began.Sub(time.UnixMilli(m.AtMS)) > 4*lag+c.cfg.Report() {
 			s.Missing++
 		}
 	}
--- a/internal/sched/ranking.go
+++ b/internal/sched/ranking.go
@@ -31,11 +31,21 @@
 	if !h.Free.Fits(a.Need) || !a.allowsKind(h.MachineType, h.Zone, h.Spot) {
 		return 0, false
 	}
+	return tieBreak(emptiness(h, a), h, a)
+}
+
+// emptiness is the part of a fitKey that tells how empty the machine would be left.
+func emptiness(h *Host, a *TaskRequest) fitKey {
+	return fitKey(math.Round(max(left(h, a.Need), 0)/eps)) << leftShift
+}
+
+// tieBreak completes the key of a machine with room from its emptiness. ok is false if it
+// lacks an image that it must have.
+func tieBreak(key fitKey, h *Host, a *TaskRequest) (complete fitKey, ok bool) {
 	warm := len(h.Images) > 0 && h.Images[a.Image]
 	if a.NeedImage && !warm {
 		return 0, false
 	}
-	key = fitKey(math.Round(max(left(h, a.Need), 0)/eps)) << leftShift
 	if strangers(h, a) > 0 {
 		key |= mixedBit
 	}
@@ -55,7 +65,16 @@
 func FullestFit(hosts []*Host, a *TaskRequest) *Host {
 	var best candidate
 	for _, h := range hosts {
-		key, ok := fitKeyOf(h, a)
+		if !h.Free.Fits(a.Need) || !a.allowsKind(h.MachineType, h.Zone, h.Spot) {
+			continue
+		}
+		key := emptiness(h, a)
+		// One that would be left emptier than the best so far is worse whatever else it
+		// has; looking its image up is the dearest step.
+		if best.host != nil && !a.PreferImage && key > best.key {
+			continue
+		}
+		key, ok := tieBreak(key, h, a)
 		if !ok || a.ZoneOK != nil && !a.ZoneOK(h.Zone) {
 			continue
 		}
--- a/internal/standin/machines.go
+++ b/internal/standin/machines.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 
 	"violetturn/internal/api"
 	"violetturn/internal/cloud"
@@ -18,6 +19,7 @@
 	Next  map[string]Fault // what happens to a node's next rental or return
 	Cut   map[string]bool  // nodes whose requests don't arrive
 	Hosts map[string]*Worker
+	Pages int       // of the list that were read so far
 	gone  []*Worker // that the list still shows
 	hires map[string][]string
 	n     int
@@ -111,12 +113,30 @@
 	return nil
 }
 
-// List tells what there was some time ago.
-func (c *CloudClient) List(context.Context) ([]cloud.Host, error) {
+// Page tells what there was some time ago, a page of it.
+func (c *CloudClient) Page(_ context.Context, since string) (hosts []cloud.Host, truncated bool, err error) {
 	if c.C.Down || c.C.Cut[c.Node] {
-		return nil, cloud.ErrTrouble
+		return nil, false, cloud.ErrTrouble
 	}
-	then := c.C.w.Now.Add(-c.C.w.Lag)
+	c.C.Pages++
+	hosts, truncated = c.C.page(since, cloud.MaxPage)
+	return hosts, truncated, nil
+}
+
+// page gives the machines as they were listed some time ago whose names come after since.
+func (c *Cloud) page(since string, limit int) (hosts []cloud.Host, truncated bool) {
+	all := c.list()
+	from, found := slices.BinarySearchFunc(all, since, func(h cloud.Host, name string) int { return strings.Compare(h.UID, name) })
+	if found {
+		from++
+	}
+	hosts = append([]cloud.Host{}, all[from:min(len(all), from+limit)]...)
+	return hosts, from+len(hosts) < len(all)
+}
+
+// list tells what there was some time ago.
+func (c *Cloud) list() []cloud.Host {
+	then := c.w.Now.Add(-c.w.Lag)
 	var out []cloud.Host
 	show := func(x *Worker) {
 		if x.rented.After(then) || !x.goneAt.IsZero() && !x.goneAt.After(then) {
@@ -139,19 +159,14 @@
 			},
 		)
 	}
-	for _, x := range c.C.Hosts {
+	for _, x := range c.Hosts {
 		show(x)
 	}
-	for _, x := range c.C.gone {
+	for _, x := range c.gone {
 		show(x)
 	}
-	slices.SortFunc(out, func(a, b cloud.Host) int {
-		if a.UID < b.UID {
-			return -1
-		}
-		return 1
-	})
-	return out, nil
+	slices.SortFunc(out, func(a, b cloud.Host) int { return strings.Compare(a.UID, b.UID) })
+	return out
 }
 
 // Direct reaches workers through /commands.
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -288,17 +288,8 @@
 	mux.HandleFunc("GET /rentals", func(out http.ResponseWriter, in *http.Request) {
 		limit, _ := strconv.Atoi(in.FormValue("limit"))
 		s.mu.Lock()
-		all, _ := client.List(in.Context()) // nothing is refused here
+		page, more := s.w.Cloud.page(in.FormValue("since"), limit)
 		s.mu.Unlock()
-		from := slices.IndexFunc(all, func(h cloud.Host) bool { return h.UID > in.FormValue("since") })
-		page := []cloud.Host{}
-		if from >= 0 {
-			page = all[from:]
-		}
-		more := len(page) > limit
-		if more {
-			page = page[:limit]
-		}
 		answerJSON(out, 200, map[string]any{"hosts": page, "truncated": more})
 	})
 	return mux
