--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -127,6 +127,7 @@
 	forgotAt           time.Time          // when machines were last forgotten
 	recent             recentPlan         // for the next round of rentals
 	enough             enoughHeadroom
+	demand             peerDemand
 	judgedAt           time.Time // when machines were last judged, whether they are to go back
 	movedAt            time.Time // when replicas were last moved to save a machine
 	limitsLowered      bool      // the state service has refused what was larger than its coming limits
@@ -161,7 +162,7 @@
 
 // New makes a controller.
 func New(cfg *config.Settings, policy *config.Policy, log *slog.Logger) (*Controller, error) {
-	h, err := transport.NewClient()
+	h, err := transport.NewClient(answerLimits(cfg))
 	if err != nil {
 		return nil, fmt.Errorf("client: %w", err)
 	}
@@ -185,6 +186,15 @@
 	return c, nil
 }
 
+// answerLimits bounds what an answer of an outside system may make a controller hold: a
+// sixteenth of its memory. Only a watch that missed much can be larger, and whoever missed
+// so much reads all records anew, in pages.
+func answerLimits(cfg *config.Settings) httpwire.Limits {
+	limits := httpwire.ResponseLimits
+	limits.Body = max(1<<20, int(cfg.Facts.Limits.MemoryMB*(1<<20)/16))
+	return limits
+}
+
 // newController makes a controller without its outside systems.
 func newController(cfg *config.Settings, policy *config.Policy, log *slog.Logger) *Controller {
 	c := &Controller{cfg: cfg, policy: policy, log: log, now: time.Now, spawn: func(f func()) { go f() }, incarnation: rand.Uint64() >> 12, rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -323,19 +333,6 @@
 	return o
 }
 
-// remember keeps the end of a job in the bounded cache. Call with the lock held.
-func (c *Controller) remember(uid string, p job.Past) {
-	const most = 4096 // entries of some hundred bytes
-	if _, ok := c.past[uid]; !ok {
-		c.pastKeys = append(c.pastKeys, uid)
-		if len(c.pastKeys) > most {
-			delete(c.past, c.pastKeys[0])
-			c.pastKeys = c.pastKeys[1:]
-		}
-	}
-	c.past[uid] = p
-}
-
 // errBusy answers what can't be taken now.
 var errBusy = transport.Response{Status: 503, Body: []byte(`{"error":"try again"}`), RetryAfter: 1}
 
--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -94,10 +94,10 @@
 	if o := c.owned(p); o != nil && c.now().After(o.answered) {
 		r.Doubt = false // the grace of whoever came before us is over
 	}
-	if n := r.Free.Trim(c.valueRoom() - 128*len(use)); n > 0 {
+	if n := c.trimOffer(r.Free, use, c.now()); n > 0 {
 		c.log.Info(
 			"machines not offered to peers", "part", p, "machines", n, "why",
-			"they don't fit the part's record; those with least room are left out",
+			"they don't fit the part's record; those are left out that peers are least likely to take",
 		)
 	}
 	t.writePart(partKey+p, &r)
@@ -221,14 +221,15 @@
 		out := free
 		if len(rec.v.Free) < len(free) { // as it would be recorded
 			out = maps.Clone(free)
-			out.Trim(c.valueRoom() - 128*len(use))
+			c.trimOffer(out, use, now)
 		}
 		if maps.Equal(out, rec.v.Free) && maps.Equal(use, rec.v.Use) && len(shares) == 0 && (!rec.v.Doubt || !now.After(o.answered)) {
 			continue
 		}
 		// More room than the record says is news for peers only, and while own jobs wait
-		// for room they take it first: that is told less often. Less is told at once.
-		if len(shares) == 0 && now.Sub(o.kept) < 24*c.cfg.Pause() && c.waiting() && atLeast(out, rec.v.Free) {
+		// for room they take it first: that is told less often, and so is another choice of
+		// machines where not all can be named. Less is told at once.
+		if len(shares) == 0 && now.Sub(o.kept) < 24*c.cfg.Pause() && c.waiting() && atLeast(free, rec.v.Free) {
 			continue
 		}
 		for name := range shares { // the record and as many teams' as a transaction takes
--- a/internal/controller/headroom.go
+++ b/internal/controller/headroom.go
@@ -20,8 +20,8 @@
 // never stands for a slack without end in expressions.
 const never = 1e9
 
-// mostArrivals bounds what is remembered of one lane.
-const mostArrivals = 1024
+// arrivalWindows is over how many boots arrivals are looked at.
+const arrivalWindows = 4
 
 // arrived notes a job for the head-room. It is called with the lock held.
 func (c *Controller) arrived(m *job.Main) {
@@ -30,7 +30,7 @@
 		clear(c.arrivals) // users may name lanes at will
 	}
 	l := append(c.arrivals[m.Spec.Class], arrival{time.UnixMilli(m.AtMS), &m.Spec, float64(m.Spec.Tasks)})
-	if len(l) > mostArrivals {
+	if len(l) > c.mostArrivals() {
 		l = l[1:]
 	}
 	c.arrivals[m.Spec.Class] = l
@@ -91,13 +91,12 @@
 		return nil
 	}
 	startup := boot.Seconds()
-	const windows = 4
 	var out []wanted
 	for lane, l := range c.arrivals {
 		squares := 0.0
 		var last *api.Job
 		for _, a := range l {
-			if age := now.Sub(a.at); age < windows*boot {
+			if age := now.Sub(a.at); age < arrivalWindows*boot {
 				squares += a.need * a.need
 				last = a.run
 			}
@@ -117,11 +116,11 @@
 			GPUs:     last.GPUs,
 			CPUs:     last.CPUs,
 		}
-		keep := c.policy.Headroom(w, math.Sqrt(squares/windows), startup, min(slack, never))
+		keep := c.policy.Headroom(w, math.Sqrt(squares/arrivalWindows), startup, min(slack, never))
 		if keep == 0 {
 			continue
 		}
-		n := int(math.Ceil(max(keep, c.growth(lane, l, boot, windows*boot, now))))
+		n := int(math.Ceil(max(keep, c.growth(lane, l, boot, arrivalWindows*boot, now))))
 		ask := askOf(last)
 		if !last.Spread {
 			out = append(out, wanted{lane, rank, []sched.Unmet{{Ask: ask, Count: n}}})
--- a/internal/controller/rent.go
+++ b/internal/controller/rent.go
@@ -201,27 +201,48 @@
 		return false
 	}
 	for _, o := range orders {
+		refused, err := c.rentOrder(ctx, o, inDoubt, renter{home, term, now})
+		if err != nil {
+			return false
+		}
+		again = again || refused
+	}
+	c.recordStrangers(ctx)
+	return again
+}
+
+// renter is for whom machines are rented, and when that was decided.
+type renter struct {
+	part string
+	term uint64
+	at   time.Time
+}
+
+// rentOrder rents the machines of one order, in as many requests as a round may take: one
+// request gives 50 machines at most. It tells whether the cloud gave less than was asked
+// for; an error is a request in doubt, which is repeated under its name.
+func (c *Controller) rentOrder(ctx context.Context, o sched.Order, inDoubt map[sched.Offer]cloud.Rental, by renter) (refused bool, err error) {
+	for wanted, calls := o.Count, 0; wanted > 0 && calls < callsARound && !refused; calls++ {
 		r, doubt := inDoubt[o.Offer]
 		if !doubt {
 			c.hires++
 			// Part, term and count: no other node or life ever uses this name.
-			name := fmt.Sprintf("%s-%d-%d", home, term, c.hires)
+			name := fmt.Sprintf("%s-%d-%d", by.part, by.term, c.hires)
 			r = cloud.Rental{Name: name, MachineType: o.Offer.MachineType, Zone: o.Offer.Zone, Spot: o.Offer.Spot}
-			r.Count = min(o.Count, cloud.MaxRental)
+			r.Count = min(wanted, cloud.MaxRental)
 		}
 		hosts, err := c.cloud.Rent(ctx, r)
 		c.mu.Lock()
-		refused := c.rented(r, hosts, err, home, now)
+		refused = c.rented(r, hosts, err, by.part, by.at)
 		c.mu.Unlock()
 		delete(inDoubt, o.Offer)
 		if err != nil && !errors.Is(err, cloud.ErrNoCapacity) {
 			inDoubt[o.Offer] = r // repeated under its name
-			return false
+			return refused, err
 		}
-		again = again || refused
+		wanted -= len(hosts)
 	}
-	c.recordStrangers(ctx)
-	return again
+	return refused, nil
 }
 
 // rentingPart gives the part that machines are rented for, this node's home if it owns it,
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -196,11 +196,7 @@
 			}
 			delete(m.hosts, host)
 			delete(m.images, host)
-			const most = 8192 // names of some ten bytes
-			if len(m.gone) >= most {
-				clear(m.gone)
-			}
-			m.gone[host] = true
+			m.noteGone(host)
 			continue
 		}
 		if was != nil && x.Addr == "" {
@@ -211,6 +207,22 @@
 	return nil
 }
 
+// leastGone is how many machines that are gone are remembered at the least: names of some
+// ten bytes.
+const leastGone = 8192
+
+// noteGone remembers that a machine is gone for good. Of more than several times the fleet
+// the older half is forgotten: a late copy of a report is of one that went not long ago.
+func (m *replica) noteGone(host string) {
+	if most := max(leastGone, 4*len(m.hosts)); len(m.gone) >= most {
+		names := slices.Sorted(maps.Keys(m.gone)) // in the order of their creation
+		for _, name := range names[:len(names)/2] {
+			delete(m.gone, name)
+		}
+	}
+	m.gone[host] = true
+}
+
 // pageID names the page of a machine that leaves out so many characters of its name.
 func pageID(host string, cut int) string { return host[:max(len(host)-cut, 0)] + "-" }
 
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -107,12 +107,13 @@
 // stranger notes a machine that has no record, to be recorded in a part of its
 // zone. One whose record was dropped is gone, and names are never used again:
 // what a cut held back, or a list that lags, must not bring it back as a ghost
-// that counts as coming room. Call with the lock held.
+// that counts as coming room. Only machines that the cloud lists come here, which bounds
+// how many there are. Call with the lock held.
 func (c *Controller) stranger(host string, m part.Machine) {
 	if c.replica.gone[host] {
 		return
 	}
-	if _, ok := c.adopt[host]; ok || len(c.adopt) >= 256 {
+	if _, ok := c.adopt[host]; ok {
 		return
 	}
 	c.adopt[host] = m
--- /dev/null
+++ b/internal/part/offer_test.go
@@ -0,0 +1,106 @@
+package part
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"violetturn/internal/sched"
+)
+
+// served counts, by a plain model, how many tasks of a demand machines take one by one.
+func served(room Free, demand []Demand) int {
+	free := maps.Clone(room)
+	n := 0
+	for _, d := range heaviest(demand) {
+		for left := int(d.Tasks); left > 0; left-- {
+			host := ""
+			for name, v := range free {
+				if Unvec(v).Fits(d.Need) && (host == "" || name < host) {
+					host = name
+				}
+			}
+			if host == "" {
+				break
+			}
+			free[host] = Vec(Unvec(free[host]).Sub(d.Need))
+			n++
+		}
+	}
+	return n
+}
+
+func drawDemand(t *rapid.T) []Demand {
+	var demand []Demand
+	for range rapid.IntRange(1, 3).Draw(t, "sizes") {
+		demand = append(demand, Demand{
+			Need: sched.Resources{
+				CPUs:  float64(rapid.IntRange(1, 6).Draw(t, "cpus")),
+				GPUs:  float64(rapid.IntRange(0, 1).Draw(t, "gpus")),
+				MemGB: float64(rapid.IntRange(1, 8).Draw(t, "mem")),
+			},
+			Tasks: float64(rapid.IntRange(0, 40).Draw(t, "tasks")),
+		})
+	}
+	return demand
+}
+
+// A record that keeps what is wanted fits its value, says nothing that isn't so, and has
+// room for at least as much of the demand as one in the order of room alone.
+func TestTrimForDemand(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		room := Free{}
+		for i := range rapid.IntRange(0, 300).Draw(t, "machines") {
+			gpus := float64(rapid.IntRange(0, 2).Draw(t, "free gpus"))
+			room[fmt.Sprintf("i-%06d", i)] = [3]float64{float64(rapid.IntRange(1, 16).Draw(t, "free cpus")), gpus, 8 + 16*gpus}
+		}
+		demand := drawDemand(t)
+		size := rapid.IntRange(100, 4<<10).Draw(t, "size")
+		plain, wanted := maps.Clone(room), maps.Clone(room)
+		plain.Trim(size, nil)
+		left := wanted.Trim(size, demand)
+		raw, err := json.Marshal(wanted)
+		if err != nil || len(raw) > size {
+			t.Fatalf("%d bytes of %d, %v", len(raw), size, err)
+		}
+		if left != len(room)-len(wanted) {
+			t.Fatalf("tells of %d left out, not %d", left, len(room)-len(wanted))
+		}
+		for name, v := range wanted {
+			if room[name] != v {
+				t.Fatalf("%s is offered with %v, has %v", name, v, room[name])
+			}
+		}
+		if a, b := served(wanted, demand), served(plain, demand); a < b {
+			t.Fatalf("takes %d tasks, in the order of room alone %d", a, b)
+		}
+	})
+}
+
+// Where most machines with accelerators are free and a gang of processors is wanted,
+// which no machine with accelerators left would keep from it, some of both stay.
+func TestTrimKeepsSomeOfEachSize(t *testing.T) {
+	room := Free{}
+	for i := range 1300 {
+		room[fmt.Sprintf("i-%06d", i)] = [3]float64{1, 2, 64} // accelerators, but hardly a processor
+	}
+	for i := range 100 {
+		room[fmt.Sprintf("i-1%05d", i)] = [3]float64{12, 0, 96}
+	}
+	demand := []Demand{
+		{Need: sched.Resources{CPUs: 1, GPUs: 1, MemGB: 32}, Tasks: 20},
+		{Need: sched.Resources{CPUs: 2, MemGB: 12}, Tasks: 20},
+	}
+	plain := maps.Clone(room)
+	plain.Trim(2<<10, nil)
+	if n := served(plain, demand); n != 20 {
+		t.Fatalf("in the order of room alone %d tasks find room", n)
+	}
+	room.Trim(2<<10, demand)
+	if n := served(room, demand); n != 40 {
+		t.Fatalf("%d of 40 tasks find room", n)
+	}
+}
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -5,7 +5,6 @@
 package part
 
 import (
-	"cmp"
 	"encoding/json"
 	"maps"
 	"slices"
@@ -87,48 +86,6 @@
 	return nil
 }
 
-// Trim leaves out machines until the recorded form surely takes at most size
-// bytes: those with the least room first, which are missed least. It tells how
-// many it left out.
-func (f Free) Trim(size int) int {
-	const group, name = 60, 4 // bytes around an amount and around a name
-	total := 2
-	seen := map[[3]float64]bool{}
-	for h, v := range f {
-		total += len(h) + name
-		if !seen[v] {
-			seen[v] = true
-			total += group
-		}
-	}
-	if total <= size {
-		return 0
-	}
-	names := slices.SortedFunc(maps.Keys(f), func(a, b string) int {
-		x, y := f[a], f[b]
-		return cmp.Or(cmp.Compare(x[1], y[1]), cmp.Compare(x[0], y[0]), cmp.Compare(a, b))
-	})
-	out := 0
-	for total > size && out < len(names) {
-		// The amount it shared with others stays: the estimate is kept high.
-		total -= len(names[out]) + name
-		delete(f, names[out])
-		out++
-		if out%16 == 0 || total <= size { // count again now and then what amounts are left
-			seen = map[[3]float64]bool{}
-			total = 2
-			for h, v := range f {
-				total += len(h) + name
-				if !seen[v] {
-					seen[v] = true
-					total += group
-				}
-			}
-		}
-	}
-	return out
-}
-
 // Machine is a machine's record: which part it belongs to, and what it is.
 type Machine struct {
 	Part        string `json:"p"`
--- a/internal/part/part_test.go
+++ b/internal/part/part_test.go
@@ -34,7 +34,7 @@
 			t.Fatalf("reads back differently: %v", err)
 		}
 		size := rapid.IntRange(100, 16<<10).Draw(t, "size")
-		n := g.Trim(size)
+		n := g.Trim(size, nil)
 		if raw, err = json.Marshal(g); err != nil || len(raw) > size {
 			t.Fatalf("%d bytes of %d, %v", len(raw), size, err)
 		}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -239,6 +239,10 @@
 		}
 	}
 	m, err := c.http.Do(ctx, c.addr, method, target, b, c.deadline+extra)
+	if errors.Is(err, httpwire.ErrTooLarge) { // served, but more than we can hold
+		c.onAnswer(true)
+		return nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
 	if err != nil {
 		c.onAnswer(false)
 		if errors.Is(err, transport.ErrNoResponse) {
@@ -315,6 +319,12 @@
 func (c *Client) Changes(ctx context.Context, prefix string, since uint64, block time.Duration) ([]Change, uint64, error) {
 	q := "/changes?prefix=" + url.QueryEscape(prefix) + "&since=" + strconv.FormatUint(since, 10) + "&blockMs=" + strconv.FormatInt(block.Milliseconds(), 10)
 	m, err := c.do(ctx, "GET", q, nil, 0, Decision, block)
+	if errors.Is(err, httpwire.ErrTooLarge) {
+		// After a minute without the service a large fleet's changes can be more than a
+		// controller may hold. Asked for again they would only have grown; all records
+		// are read anew instead, in pages.
+		return nil, 0, fmt.Errorf("%w: %w", ErrTooOld, err)
+	}
 	if err != nil {
 		return nil, 0, err
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -36,7 +36,7 @@
 	case err := <-ended:
 		t.Fatal(err)
 	}
-	h, err := transport.NewClient()
+	h, err := transport.NewClient(httpwire.ResponseLimits)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -67,6 +67,11 @@
 	if _, _, err := c.Changes(ctx, "c/", 1, 0); !errors.Is(err, ErrTooOld) {
 		t.Error(err)
 	}
+	large := httpwire.ResponseLimits.Body + 1
+	set("/changes", 200, strings.Repeat(" ", large))
+	if _, _, err := c.Changes(ctx, "c/", 1, 0); !errors.Is(err, ErrTooOld) || !served {
+		t.Errorf("changes of %d bytes: %v, served %t", large, err, served)
+	}
 	set("/holds", 200, `{"permit":7}`)
 	if p, err := c.GrantLease(ctx, 5*time.Second); err != nil || p != 7 {
 		t.Error(p, err)
@@ -113,9 +118,9 @@
 	}
 	if d := cmp.Diff([]string{
 		"GET /keys/a/b", "GET /keys/a/c", "GET /keys?prefix=c%2F&limit=1000", "GET /changes?prefix=c%2F&since=431&blockMs=2000",
-		"GET /changes?prefix=c%2F&since=1&blockMs=0", `POST /holds {"ttlMs":5000}`, "POST /holds/7/touch {}",
+		"GET /changes?prefix=c%2F&since=1&blockMs=0", "GET /changes?prefix=c%2F&since=1&blockMs=0", `POST /holds {"ttlMs":5000}`, "POST /holds/7/touch {}",
 		`POST /multi {"guards":[{"k":"a/b","stamp":0}],"then":[{"write":"a/b","v":{},"permit":7},{"drop":"c/d"}]}`,
-	}, got[:8]); d != "" {
+	}, got[:9]); d != "" {
 		t.Error(d)
 	}
 }
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -22,6 +23,8 @@
 	gnet.BuiltinEventEngine
 	g *gnet.Client
 
+	limits httpwire.Limits // of answers
+
 	mu   sync.Mutex
 	idle map[string][]*clientConn
 }
@@ -40,9 +43,9 @@
 	err error
 }
 
-// NewClient starts a client.
-func NewClient() (*Client, error) {
-	c := &Client{idle: map[string][]*clientConn{}}
+// NewClient starts a client that takes answers within the limits.
+func NewClient(limits httpwire.Limits) (*Client, error) {
+	c := &Client{limits: limits, idle: map[string][]*clientConn{}}
 	g, err := gnet.NewClient(c, gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithReadBufferCap(64<<10),
 		gnet.WithLogger(quiet{}), gnet.WithLogLevel(logging.ErrorLevel))
 	if err != nil {
@@ -69,6 +72,7 @@
 	for {
 		m, err := cc.parser.Next()
 		if err != nil {
+			cc.deliver(result{err: fmt.Errorf("%w: %w", ErrNoResponse, err)})
 			return gnet.Close
 		}
 		if m == nil {
@@ -131,7 +135,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cc := &clientConn{addr: addr, parser: httpwire.NewParser(true, httpwire.ResponseLimits)}
+	cc := &clientConn{addr: addr, parser: httpwire.NewParser(true, c.limits)}
 	gc, err := c.g.EnrollContext(nc, cc)
 	if err != nil {
 		_ = nc.Close()
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -46,7 +46,7 @@
 		}
 		return r, true
 	}, time.Hour)
-	c, err := NewClient()
+	c, err := NewClient(httpwire.ResponseLimits)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -95,7 +95,7 @@
 			_ = c.Close()
 		}
 	}()
-	c, err := NewClient()
+	c, err := NewClient(httpwire.ResponseLimits)
 	if err != nil {
 		t.Fatal(err)
 	}
