--- /dev/null
+++ b/internal/controller/huge_test.go
@@ -0,0 +1,86 @@
+//go:build !race
+
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"violetturn/internal/api"
+	"violetturn/internal/standin"
+)
+
+// Four thousand stand-in machines: three controllers fill them, one ends and its machines
+// are taken over, then all end at once and start anew, and go on without a broken rule.
+//
+// It is simulated time in one goroutine, so nothing shows how real processes keep up; and
+// it takes minutes under the race detector, for which test.sh runs it apart.
+func TestFourThousandMachines(t *testing.T) {
+	l := newLoadSim(standin.Huge())
+	l.phase = "fill"
+	for _, class := range []*standin.Class{&l.d.Services, &l.d.Arrays} {
+		for range class.Initial {
+			l.newJob(class)
+		}
+	}
+	l.play("fill", 150*time.Second)
+	up := l.machinesUp()
+	const wanted = 3600 // about four thousand, as the jobs that are drawn need them
+	if up < wanted {
+		t.Fatalf("%d machines are up, not %d", up, wanted)
+	}
+	before := l.tasksRunning()
+
+	l.nodes[2].up = false
+	l.play("takeover", 30*time.Second)
+	if own := l.nodes[0].c.replica.owns["n2"].v; own == nil || own.Node == "n2" {
+		t.Fatalf("the lost controller's part is owned by %v", own)
+	}
+	for i := range l.nodes {
+		l.start(i)
+	}
+	l.play("start", 45*time.Second)
+
+	if after := l.tasksRunning(); after < before*9/10 {
+		t.Errorf("%d tasks run after the restart, %d before", after, before)
+	}
+	l.checkAccepted(t)
+	for _, broken := range l.w.Broken {
+		t.Error(broken)
+	}
+}
+
+// machinesUp counts the machines that have booted.
+func (l *loadSim) machinesUp() int {
+	n := 0
+	for _, x := range l.w.Cloud.Workers() {
+		if x.Up() {
+			n++
+		}
+	}
+	return n
+}
+
+// tasksRunning counts the tasks on machines.
+func (l *loadSim) tasksRunning() int {
+	n := 0
+	for _, x := range l.w.Cloud.Workers() {
+		n += len(x.Present())
+	}
+	return n
+}
+
+// checkAccepted asks every controller for every job and checks that those that were
+// accepted are known. What is said is checked by the world.
+func (l *loadSim) checkAccepted(t *testing.T) {
+	t.Helper()
+	for i := range l.nodes {
+		for _, uid := range l.uids {
+			status, body := l.request("user", i, "GET", "/v2/runs/"+uid, nil)
+			l.told(uid, status, body, false)
+			if j := l.w.Jobs[uid]; j.Told && status != 200 && j.Phase != api.Cancelled {
+				t.Errorf("controller %d answers %d for %s", i, status, uid)
+			}
+		}
+	}
+}
--- a/internal/controller/load_test.go
+++ b/internal/controller/load_test.go
@@ -366,7 +366,7 @@
 // -cpuprofile and -memprofile it shows where a controller's time and memory go; the
 // labels "phase" and "work" part them (pprof -tagfocus, -tagroot).
 func BenchmarkDeployment(b *testing.B) {
-	for _, d := range []*standin.Deployment{standin.Small(), standin.Large()} {
+	for _, d := range []*standin.Deployment{standin.Small(), standin.Large(), standin.Huge()} {
 		b.Run(d.Name, func(b *testing.B) {
 			for range b.N {
 				l := newLoadSim(d)
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -56,6 +56,38 @@
 	}
 }
 
+// Huge is of some four thousand machines and three controllers, on a state service of the
+// grown deployments' rates, with long tasks.
+func Huge() *Deployment {
+	return &Deployment{
+		Name: "4000-machines", ReportS: 10, LeaseS: 45, CancelS: 75, Boot: 60 * time.Second, Pull: 8 * time.Second,
+		Flavor:   Flavor{Label: "m", CPUs: 16, GPUs: 2, MemGB: 128},
+		State:    config.StateLimits{RPS: 120, WriteRPS: 25, ValueKB: 16, TxnOps: 20},
+		TeamGPUs: 8000,
+		Services: Class{
+			Name:      "service",
+			Service:   true,
+			Initial:   240,
+			PerSecond: 0.1,
+			Tasks:     8,
+			CPUs:      5,
+			MemGB:     38,
+			Run:       2000 * time.Second,
+			Images:    6,
+		},
+		Arrays: Class{
+			Name:      "array",
+			Initial:   60,
+			PerSecond: 0.5,
+			Tasks:     60,
+			CPUs:      6,
+			MemGB:     48,
+			Run:       400 * time.Second,
+			Images:    18,
+		},
+	}
+}
+
 // Small is of the size of a grown deployment of some three hundred machines, whose
 // workers report often.
 func Small() *Deployment {
--- a/internal/standin/gangs.go
+++ b/internal/standin/gangs.go
@@ -27,8 +27,7 @@
 
 // mates gives the tasks of an attempt that are on machines.
 func (w *World) mates(uid string, try uint64) (tasks []*Task, on []*Worker) {
-	for _, name := range w.Cloud.Names() {
-		x := w.Cloud.Hosts[name]
+	for _, x := range w.Cloud.Workers() {
 		for _, t := range x.Tasks {
 			if t.uid == uid && t.try == try && t.phase != api.Ended {
 				tasks, on = append(tasks, t), append(on, x)
@@ -167,7 +166,7 @@
 
 // haltMate tells a task of a gang to stop.
 func (x *Worker) haltMate(t *Task, leeway *float64) {
-	j := x.w.Jobs[t.uid]
+	j := t.job
 	run := j.gang.runs[t.try]
 	if run == nil || run.over || t.phase != api.Running {
 		t.phase, t.cause = api.Ended, api.CauseStopped
@@ -192,10 +191,10 @@
 	if try < j.gang.last {
 		w.Break("attempts", "%s starts as attempt %d after %d", name, try, j.gang.last)
 	}
-	for _, n := range w.Cloud.Names() {
-		for _, t := range w.Cloud.Hosts[n].Tasks {
+	for _, x := range w.Cloud.Workers() {
+		for _, t := range x.Tasks {
 			if t.uid == j.Run.UID && t.try != try && t.phase != api.Ended {
-				w.Break("attempts", "%s starts as attempt %d beside attempt %d of task %d on %s", name, try, t.try, t.index, n)
+				w.Break("attempts", "%s starts as attempt %d beside attempt %d of task %d on %s", name, try, t.try, t.index, x.Host)
 			}
 		}
 	}
--- a/internal/standin/machines.go
+++ b/internal/standin/machines.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -20,18 +21,26 @@
 	Cut   map[string]bool  // nodes whose requests don't arrive
 	Hosts map[string]*Worker
 	Pages int       // of the list that were read so far
+	order []*Worker // Hosts in the order of their names; nil: to be made anew
 	gone  []*Worker // that the list still shows
 	hires map[string][]string
 	n     int
 }
 
-// Names lists the machines there are, in order.
+// Workers lists the machines there are, in the order of their names.
+func (c *Cloud) Workers() []*Worker {
+	if c.order == nil {
+		c.order = slices.SortedFunc(maps.Values(c.Hosts), func(a, b *Worker) int { return strings.Compare(a.Host, b.Host) })
+	}
+	return c.order
+}
+
+// Names lists the names of the machines there are, in order.
 func (c *Cloud) Names() []string {
 	out := make([]string, 0, len(c.Hosts))
-	for n := range c.Hosts {
-		out = append(out, n)
+	for _, x := range c.Workers() {
+		out = append(out, x.Host)
 	}
-	slices.Sort(out)
 	return out
 }
 
@@ -41,6 +50,7 @@
 		x.goneAt = c.w.Now
 		c.gone = append(c.gone, x)
 		delete(c.Hosts, host)
+		c.order = nil
 	}
 }
 
@@ -91,6 +101,7 @@
 		out = append(out, name)
 	}
 	c.C.hires[r.Name] = out
+	c.C.order = nil
 	if f != None {
 		return nil, cloud.ErrTrouble
 	}
@@ -192,7 +203,7 @@
 // Command sends direct orders. A worker that is cut off gets them when Held is
 // run; a machine that is not there never does.
 func (d *Direct) Command(_ context.Context, addr string, o api.Response) (*api.Report, bool, error) {
-	for _, x := range d.W.Cloud.Hosts {
+	for _, x := range d.W.Cloud.Workers() {
 		if x.Addr != addr || !x.Up() {
 			continue
 		}
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -159,9 +160,13 @@
 	client := Client{S: s.w.Store}
 	for waiting := block > 0; ; {
 		s.mu.Lock()
-		log, epoch, _ := client.Changes(in.Context(), in.FormValue("prefix"), since, 0) // nothing is refused here
+		log, epoch, err := client.Changes(in.Context(), in.FormValue("prefix"), since, 0)
 		changed := s.changed
 		s.mu.Unlock()
+		if errors.Is(err, store.ErrTooOld) { // nothing else is refused here
+			answerJSON(out, http.StatusGone, errorAnswer{err.Error()})
+			return
+		}
 		if len(log) > 0 || !waiting {
 			answer := changeLog{Epoch: epoch, Log: []any{}}
 			for _, e := range log {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -41,6 +41,23 @@
 	late   []*store.Txn
 }
 
+// History is how many changes the state service keeps for those who watch (PROTOCOL).
+const History = 10_000
+
+// note adds a change to the log, of which the oldest are dropped.
+func (s *Store) note(c store.Change) {
+	s.log = append(s.log, c)
+	if len(s.log) >= 2*History {
+		s.log = slices.Clone(s.log[len(s.log)-History:])
+	}
+}
+
+// kept tells whether all changes after a revision are still in the log.
+func (s *Store) kept(since uint64) bool {
+	n := len(s.log)
+	return n <= History || since >= s.log[n-History-1].Version
+}
+
 // Item is a key as it stands.
 type Item struct {
 	Key   string
@@ -95,7 +112,7 @@
 	s.epoch++
 	for _, k := range drop {
 		delete(s.keys, k)
-		s.log = append(s.log, store.Change{Drop: k, Version: s.epoch})
+		s.note(store.Change{Drop: k, Version: s.epoch})
 	}
 }
 
@@ -138,7 +155,7 @@
 		if op.Drop != "" {
 			if _, ok := s.keys[op.Drop]; ok {
 				delete(s.keys, op.Drop)
-				s.log = append(s.log, store.Change{Drop: op.Drop, Version: s.epoch})
+				s.note(store.Change{Drop: op.Drop, Version: s.epoch})
 			}
 			continue
 		}
@@ -147,7 +164,7 @@
 			it.permit = *op.Lease
 		}
 		s.keys[op.Write] = it
-		s.log = append(s.log, store.Change{Write: op.Write, Value: op.Value, Version: s.epoch})
+		s.note(store.Change{Write: op.Write, Value: op.Value, Version: s.epoch})
 	}
 	return s.epoch, true, nil, nil
 }
@@ -206,6 +223,9 @@
 	if err := c.lost(); err != nil {
 		return nil, 0, err
 	}
+	if !c.S.kept(since) {
+		return nil, 0, store.ErrTooOld
+	}
 	var out []store.Change
 	from, _ := slices.BinarySearchFunc(c.S.log, since+1, func(e store.Change, stamp uint64) int { return cmp.Compare(e.Version, stamp) })
 	for _, e := range c.S.log[from:] {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -32,6 +32,7 @@
 // Task is an attempt on a machine.
 type Task struct {
 	uid       string
+	job       *Job
 	index     int
 	try       uint64
 	phase     string
@@ -70,7 +71,7 @@
 		return
 	}
 	for _, t := range x.Tasks {
-		j := x.w.Jobs[t.uid]
+		j := t.job
 		switch {
 		case t.phase == api.Fetching && x.w.Now.Sub(t.since) >= x.w.Flavor.Pull:
 			t.phase, t.since = api.Running, x.w.Now
@@ -104,9 +105,11 @@
 // Room is what the machine's tasks leave.
 func (x *Worker) Room() (cpus, gpus float64) {
 	cpus, gpus = x.w.Flavor.CPUs, x.w.Flavor.GPUs
-	for _, uid := range x.Present() {
-		cpus -= x.w.Jobs[uid].Run.CPUs
-		gpus -= x.w.Jobs[uid].Run.GPUs
+	for _, t := range x.Tasks {
+		if t.phase != api.Ended {
+			cpus -= t.job.Run.CPUs
+			gpus -= t.job.Run.GPUs
+		}
 	}
 	return cpus, gpus
 }
@@ -185,7 +188,7 @@
 			if at < 0 || x.Tasks[at].phase == api.Ended {
 				continue
 			}
-			t, j := x.Tasks[at], x.w.Jobs[uid]
+			t, j := x.Tasks[at], x.Tasks[at].job
 			if j.Run.Kind == api.Gang {
 				x.haltMate(t, o.GraceS)
 				continue
@@ -205,9 +208,9 @@
 }
 
 func (x *Worker) launch(uid string, i int, try uint64) {
-	t := &Task{uid: uid, index: i, try: try, phase: api.Fetching, since: x.w.Now}
-	refuse := func(cause string) { t.phase, t.cause = api.Ended, cause }
 	j := x.w.Jobs[uid]
+	t := &Task{uid: uid, job: j, index: i, try: try, phase: api.Fetching, since: x.w.Now}
+	refuse := func(cause string) { t.phase, t.cause = api.Ended, cause }
 	if j == nil || i >= j.Run.Tasks {
 		x.w.Break("orders", "launch of unknown %s", uid)
 		return
@@ -223,8 +226,8 @@
 		if o.phase == api.Ended {
 			continue
 		}
-		free -= x.w.Jobs[o.uid].Run.GPUs
-		cpus -= x.w.Jobs[o.uid].Run.CPUs
+		free -= o.job.Run.GPUs
+		cpus -= o.job.Run.CPUs
 		if o.uid == uid && o.index == i {
 			refuse(api.CauseBusy)
 		}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -81,20 +81,21 @@
 	for end := w.Now.Add(d); w.Now.Before(end); {
 		w.Now = w.Now.Add(min(100*time.Millisecond, end.Sub(w.Now)))
 		w.Store.tick()
-		for _, name := range w.Cloud.Names() {
-			w.Cloud.Hosts[name].tick()
+		for _, x := range w.Cloud.Workers() {
+			x.tick()
 		}
 		w.tickGangs()
-		for uid, j := range w.Jobs {
-			if j.StopTold.IsZero() || w.Now.Sub(j.StopTold) <= w.CancelS {
-				continue
-			}
-			for _, name := range w.Cloud.Names() {
-				for _, t := range w.Cloud.Hosts[name].Tasks {
-					if t.uid == uid && t.on() {
-						w.Break("ran_cancelled", "%s is on %s", api.TaskName(uid, t.index), name)
-					}
-				}
+		w.checkCancelled()
+	}
+}
+
+// checkCancelled checks that no task is on a machine too long after its user was told that
+// its job is cancelled.
+func (w *World) checkCancelled() {
+	for _, x := range w.Cloud.Workers() {
+		for _, t := range x.Tasks {
+			if told := t.job.StopTold; !told.IsZero() && w.Now.Sub(told) > w.CancelS && t.on() {
+				w.Break("ran_cancelled", "%s is on %s", api.TaskName(t.uid, t.index), x.Host)
 			}
 		}
 	}
@@ -102,25 +103,24 @@
 
 // started checks the rules at the moment when a task has its image.
 func (w *World) started(x *Worker, t *Task) {
-	j := w.Jobs[t.uid]
+	j := t.job
 	name := api.TaskName(t.uid, t.index)
 	r := &j.Run
 	used := 0.0
 	zones := map[string]int{}
-	for _, n := range w.Cloud.Names() {
-		h := w.Cloud.Hosts[n]
+	for _, h := range w.Cloud.Workers() {
 		for _, o := range h.Tasks {
 			if !o.on() {
 				continue
 			}
-			if w.Jobs[o.uid].Run.Team == r.Team {
-				used += w.Jobs[o.uid].Run.GPUs
+			if o.job.Run.Team == r.Team {
+				used += o.job.Run.GPUs
 			}
 			if o.uid == t.uid && o != t {
 				zones[h.Site]++
 			}
 			if o.uid == t.uid && o.index == t.index && h != x {
-				w.Break("ran_twice", "%s starts on %s while on %s", name, x.Host, n)
+				w.Break("ran_twice", "%s starts on %s while on %s", name, x.Host, h.Host)
 			}
 		}
 	}
