--- a/internal/part/offer.go
+++ b/internal/part/offer.go
@@ -26,14 +26,18 @@
 
 // Fits tells whether the recorded form surely takes at most size bytes.
 func (f Free) Fits(size int) bool {
-	s := selection{room: f, size: size}
-	s.clear()
+	bytes := emptyBytes
 	for name := range f {
-		if !s.add(name) {
-			return false
-		}
+		bytes += len(name) + nameBytes
 	}
-	return true
+	if bytes > size {
+		return false
+	}
+	amounts := map[[3]float64]bool{}
+	for _, amount := range f {
+		amounts[amount] = true
+	}
+	return bytes+len(amounts)*amountBytes <= size
 }
 
 // Trim leaves out machines until the recorded form surely takes at most size bytes, and
@@ -46,12 +50,13 @@
 	if f.Fits(size) {
 		return 0
 	}
+	order := inOrder(f)
 	plain := selection{room: f, size: size}
 	plain.clear()
-	plain.fill()
+	plain.fill(order)
 	best := &plain
 	if len(demand) > 0 {
-		wanted := newSelection(f, size, demand)
+		wanted := newSelection(f, order, size, demand)
 		if wanted.served() > plain.servedOf(wanted.demand) {
 			best = wanted
 		}
@@ -72,8 +77,8 @@
 }
 
 // newSelection chooses machines for the demand, each size of task in proportion to how
-// much of it is wanted, and fills up with the others.
-func newSelection(room Free, size int, demand []Demand) *selection {
+// much of it is wanted, and fills up with the others in their order.
+func newSelection(room Free, order []machineRoom, size int, demand []Demand) *selection {
 	s := &selection{room: room, size: size, demand: heaviest(demand)}
 	s.clear()
 	queues := make([][]candidate, len(s.demand))
@@ -97,7 +102,7 @@
 			covered[next] += best.slots
 		}
 	}
-	s.fill()
+	s.fill(order)
 	return s
 }
 
@@ -160,16 +165,30 @@
 	return true
 }
 
-// fill keeps as many of the others as fit, those with most accelerators and processors
-// first. It stops at the first that does not fit, so that none with less room stays in
-// the place of one with more.
-func (s *selection) fill() {
-	names := slices.SortedFunc(maps.Keys(s.room), func(a, b string) int {
-		x, y := s.room[a], s.room[b]
-		return cmp.Or(cmp.Compare(y[1], x[1]), cmp.Compare(y[0], x[0]), cmp.Compare(b, a))
+// machineRoom is a machine with its room.
+type machineRoom struct {
+	name   string
+	amount [3]float64
+}
+
+// inOrder lists the machines, those with most accelerators and processors first.
+func inOrder(room Free) []machineRoom {
+	out := make([]machineRoom, 0, len(room))
+	for name, amount := range room {
+		out = append(out, machineRoom{name, amount})
+	}
+	slices.SortFunc(out, func(a, b machineRoom) int {
+		x, y := a.amount, b.amount
+		return cmp.Or(cmp.Compare(y[1], x[1]), cmp.Compare(y[0], x[0]), cmp.Compare(b.name, a.name))
 	})
-	for _, name := range names {
-		if !s.kept[name] && !s.add(name) {
+	return out
+}
+
+// fill keeps as many of the others as fit, in their order. It stops at the first that does
+// not fit, so that none with less room stays in the place of one with more.
+func (s *selection) fill(order []machineRoom) {
+	for _, m := range order {
+		if !s.kept[m.name] && !s.add(m.name) {
 			return
 		}
 	}
