Zone recovery behind a switch: zone health, admission, lost arrays wait

Need: when a zone drops and returns, readers run again before arrays take the room, and arrays come back step by step.

Tasks below production that went with their zone are not started again in place.

Off, nothing is read or written.

--- a/cmd/violetturn/main.go
+++ b/cmd/violetturn/main.go
@@ -16,17 +16,19 @@
 
 	"violetturn/internal/config"
 	"violetturn/internal/controller"
+	"violetturn/internal/features"
 )
 
 var version = "0.1.0"
 
 type cli struct {
-	Config  string           `help:"Settings file (TOML) that the platform hands over." required:"" type:"path" placeholder:"FILE"`
-	Policy  string           `help:"Policy file (TOML) with the operators' own expressions. Built-in policy without it." type:"path" placeholder:"FILE"`
-	Profile string           `help:"Folder for profiles of processor, memory and the state's lock, written when the process is stopped." type:"path" placeholder:"DIR"`
-	Version kong.VersionFlag `help:"Print the version and exit."`
-	Serve   struct{}         `cmd:"" default:"1" help:"Run a controller (the default)."`
-	Check   struct{}         `cmd:"" help:"Check the settings, and the policy if given, and exit."`
+	Config   string           `help:"Settings file (TOML) that the platform hands over." required:"" type:"path" placeholder:"FILE"`
+	Policy   string           `help:"Policy file (TOML) with the operators' own expressions. Built-in policy without it." type:"path" placeholder:"FILE"`
+	Features string           `help:"Features file (TOML) that switches new behaviour on. All is off without it." type:"path" placeholder:"FILE"`
+	Profile  string           `help:"Folder for profiles of processor, memory and the state's lock, written when the process is stopped." type:"path" placeholder:"DIR"`
+	Version  kong.VersionFlag `help:"Print the version and exit."`
+	Serve    struct{}         `cmd:"" default:"1" help:"Run a controller (the default)."`
+	Check    struct{}         `cmd:"" help:"Check the settings, and the policy if given, and exit."`
 }
 
 // exitUsage is the exit code for bad settings or arguments: nothing was served.
@@ -58,6 +60,11 @@
 		fmt.Fprintf(os.Stderr, "violetturn: %v\n", err)
 		return exitUsage
 	}
+	on, err := features.Load(args.Features)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "violetturn: %v\n", err)
+		return exitUsage
+	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	for _, x := range policy.Outdated() {
 		log.Warn("policy names a variable as it was called earlier", "old", x.Old, "new", x.New)
@@ -74,7 +81,7 @@
 	// garbage: collecting a quarter as often saves processor time, of which there
 	// is less. The limit above still holds.
 	debug.SetGCPercent(400)
-	c, err := controller.New(cfg, policy, log)
+	c, err := controller.New(cfg, policy, on, log)
 	if err != nil {
 		log.Error("not started", "err", err)
 		return 1
--- a/cmd/violetturn/profile_test.go
+++ b/cmd/violetturn/profile_test.go
@@ -9,6 +9,7 @@
 
 	"violetturn/internal/config"
 	"violetturn/internal/controller"
+	"violetturn/internal/features"
 )
 
 // A profile is three files in the folder; a folder that isn't there is an error.
@@ -17,7 +18,7 @@
 	cfg.Facts.Size, cfg.Facts.Limits.MaxSockets = 1, 100
 	cfg.Facts.State.WriteRPS, cfg.Facts.State.RPS, cfg.Facts.Cloud.RPS = 10, 10, 10
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	c, err := controller.New(cfg, config.DefaultPolicy(), log)
+	c, err := controller.New(cfg, config.DefaultPolicy(), features.Default(), log)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/controller/contact.go
+++ b/internal/controller/contact.go
@@ -111,5 +111,6 @@
 
 // nodeRecord is what this node says of itself. Call with the lock held.
 func (c *Controller) nodeRecord() part.Ownership {
-	return part.Ownership{Node: c.cfg.HostName, Incarnation: c.incarnation, Mute: c.contact.mute, Hear: c.contact.some, V: forms}
+	return part.Ownership{Node: c.cfg.HostName, Incarnation: c.incarnation, Mute: c.contact.mute, Hear: c.contact.some, V: forms,
+		Features: c.features.Names()}
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -17,6 +17,7 @@
 	"violetturn/internal/api"
 	"violetturn/internal/cloud"
 	"violetturn/internal/config"
+	"violetturn/internal/features"
 	"violetturn/internal/httpwire"
 	"violetturn/internal/job"
 	"violetturn/internal/part"
@@ -59,6 +60,7 @@
 type Controller struct {
 	cfg         *config.Settings
 	policy      *config.Policy
+	features    *features.Features
 	log         *slog.Logger
 	now         func() time.Time
 	spawn       func(func()) // runs work aside
@@ -128,6 +130,7 @@
 	recent             recentPlan         // for the next round of rentals
 	enough             enoughHeadroom
 	demand             peerDemand
+	zoneWatch          zoneWatch
 	judgedAt           time.Time // when machines were last judged, whether they are to go back
 	movedAt            time.Time // when replicas were last moved to save a machine
 	limitsLowered      bool      // the state service has refused what was larger than its coming limits
@@ -161,13 +164,14 @@
 }
 
 // New makes a controller.
-func New(cfg *config.Settings, policy *config.Policy, log *slog.Logger) (*Controller, error) {
+func New(cfg *config.Settings, policy *config.Policy, on *features.Features, log *slog.Logger) (*Controller, error) {
 	h, err := transport.NewClient(answerLimits(cfg))
 	if err != nil {
 		return nil, fmt.Errorf("client: %w", err)
 	}
 	n := float64(cfg.Facts.Size)
 	c := newController(cfg, policy, log)
+	c.features = on
 	c.http = h
 	low := cfg.Lowest()
 	c.store = store.New(
@@ -197,7 +201,7 @@
 
 // newController makes a controller without its outside systems.
 func newController(cfg *config.Settings, policy *config.Policy, log *slog.Logger) *Controller {
-	c := &Controller{cfg: cfg, policy: policy, log: log, now: time.Now, spawn: func(f func()) { go f() }, incarnation: rand.Uint64() >> 12, rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	c := &Controller{cfg: cfg, policy: policy, features: features.Default(), log: log, now: time.Now, spawn: func(f func()) { go f() }, incarnation: rand.Uint64() >> 12, rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		wake: make(chan struct{}, 1), newGang: make(chan struct{}, 1), orphans: make(chan struct{}, 1),
 		fencing: make(
 			chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/16),
--- a/internal/controller/gangplacement.go
+++ b/internal/controller/gangplacement.go
@@ -165,7 +165,7 @@
 		// Part after part, or all as one: a fetch takes longer than another part's record
 		// to be changed, and the last task decides when all start.
 		for _, by := range [][][]*sched.Host{parts, {flat}} {
-			z := c.zonesOf(j)
+			z := c.zonesOf(j, l.z.gate.trial())
 			var seats []sched.Seat
 			for _, t := range l.tasks {
 				seats = append(seats, sched.Seat{Zone: func(s string) bool { return z.ok(t.chunk, s) }, Took: func(s string) { z.add(t.chunk, s) }})
@@ -217,7 +217,7 @@
 	e := c.edit()
 	e.most = c.limits().TxnOps
 	cl := &claims{c: c, by: map[string]*claim{}}
-	z := c.zonesOf(j)
+	z := c.zonesOf(j, c.admission(now))
 	placed := j.placed()
 	var try uint64
 	n := 0
--- a/internal/controller/headroom.go
+++ b/internal/controller/headroom.go
@@ -91,6 +91,7 @@
 		return nil
 	}
 	startup := boot.Seconds()
+	admission := c.admission(now)
 	var out []wanted
 	for lane, l := range c.arrivals {
 		squares := 0.0
@@ -122,6 +123,9 @@
 		}
 		n := int(math.Ceil(max(keep, c.growth(lane, l, boot, arrivalWindows*boot, now))))
 		ask := askOf(last)
+		if gate := c.gateOfSpec(last, admission); gate != nil {
+			ask.ZoneOK = gate.admits // no head-room below production in a zone that is closed to it
+		}
 		if !last.Spread {
 			out = append(out, wanted{lane, rank, []sched.Unmet{{Ask: ask, Count: n}}})
 			continue
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -8,6 +8,7 @@
 
 	"violetturn/internal/api"
 	"violetturn/internal/part"
+	"violetturn/internal/recovery"
 	"violetturn/internal/sched"
 	"violetturn/internal/store"
 )
@@ -217,10 +218,10 @@
 
 // zoneOK tells whether the job's other tasks leave a zone to one of its tasks;
 // zs keeps what was worked out for each job.
-func (c *Controller) zoneOK(zs map[string]*zones, j *liveJob, x placement) bool {
+func (c *Controller) zoneOK(zs map[string]*zones, j *liveJob, x placement, admission *recovery.Admission) bool {
 	z := zs[x.uid]
 	if z == nil {
-		z = c.zonesOf(j)
+		z = c.zonesOf(j, admission)
 		zs[x.uid] = z
 	}
 	return z.ok(x.chunk, x.host.Zone)
@@ -239,9 +240,10 @@
 	e.most = min(e.most, room)
 	cl := &claims{c: c, by: map[string]*claim{}}
 	zs := map[string]*zones{}
+	admission := c.admission(now)
 	for i, x := range todo {
 		j, more, ok := cl.take(x, now)
-		if j == nil || !c.zoneOK(zs, j, x) {
+		if j == nil || !c.zoneOK(zs, j, x, admission) {
 			continue
 		}
 		more += e.cost(j, x.chunk)
--- a/internal/controller/planner.go
+++ b/internal/controller/planner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"violetturn/internal/config"
+	"violetturn/internal/recovery"
 	"violetturn/internal/sched"
 )
 
@@ -64,10 +65,14 @@
 	queue []*queued
 	least sched.Resources // the smallest amounts that any waiting task asks for
 
-	jobs     []*waitingJob
-	hosts    map[string][]*sched.Host // by part, those with room for the least
-	chooser  *sched.Chooser
-	used     map[string]sched.Resources // by limited team, with what the plan adds
+	jobs    []*waitingJob
+	hosts   map[string][]*sched.Host // by part, those with room for the least
+	chooser *sched.Chooser
+	used    map[string]sched.Resources // by limited team, with what the plan adds
+
+	admission *recovery.Admission // to zones that return
+	reserved  bool                // their room for production that waits is kept
+
 	cold     []coldStart
 	lacking  []*waitingJob
 	searches map[*waitingJob]*gangSearch
@@ -107,6 +112,7 @@
 func (p *planner) selectJobs() {
 	c := p.c
 	p.all = c.hosts(p.now)
+	p.admission = c.admission(p.now)
 	p.queue = c.queue(p.now)
 	p.least = least(p.queue)
 	p.hosts = fitting(p.all, p.least) // only those with room: work per task is bounded by them
@@ -126,7 +132,7 @@
 		ask.FetchS = c.pull(r)
 		// Fetches may be a third slower than told.
 		ask.PreferImage = c.slack(r.Class, r, 1.5*ask.FetchS) < c.cfg.Report().Seconds()
-		p.jobs = append(p.jobs, &waitingJob{q: q, ask: ask, z: c.zonesOf(q.j), tasks: slices.Clone(q.j.pending())})
+		p.jobs = append(p.jobs, &waitingJob{q: q, ask: ask, z: c.zonesOf(q.j, p.admission), tasks: slices.Clone(q.j.pending())})
 	}
 }
 
@@ -138,11 +144,22 @@
 		if end < 0 {
 			end = len(rest)
 		}
+		p.reserveFor(rest[:end])
 		p.placeEqual(rest[:end])
 		rest = rest[end:]
 	}
 }
 
+// reserveFor keeps room in zones that return for production tasks that wait for lost
+// machines, before the first work below production is placed.
+func (p *planner) reserveFor(jobs []*waitingJob) {
+	below := slices.ContainsFunc(jobs, func(l *waitingJob) bool { return l.q.rank > production })
+	if below && !p.reserved {
+		p.reserved = true
+		p.admission.Reserve(p.all)
+	}
+}
+
 // placeEqual places jobs of one weight. A machine with room goes first to one whose image
 // it has: fetches take a good part of the machines' time. One that starves takes what
 // there is.
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -13,6 +13,7 @@
 	"violetturn/internal/part"
 	"violetturn/internal/sched"
 	"violetturn/internal/store"
+	"violetturn/internal/zonehealth"
 )
 
 // Keys of the state service. All that lives is below live/, which every
@@ -28,6 +29,7 @@
 	pageKey = live + "m/" // + what names of machines have in common: those machines
 	teamKey = live + "q/" // + team: shares of its limit
 	markKey = live + "v/" // + node: the forms of records that it reads; stays when the node ends
+	zoneKey = live + "z/" // + zone: its health, while features.ZoneRecovery is on
 	termKey = live + "term"
 	pastKey = "past/" // + uid
 )
@@ -58,6 +60,7 @@
 	owns              map[string]value[part.Ownership]
 	nodes             map[string]value[part.Ownership]
 	marks             map[string]value[part.Mark]
+	zones             map[string]value[zonehealth.Record]
 	pages             map[string]value[part.Page]
 	hosts             map[string]*part.Machine // of all pages
 	teams             map[string]value[part.Usage]
@@ -84,7 +87,7 @@
 
 func newReplica(log *slog.Logger, onJob func(*job.Main), onTask func(string)) *replica {
 	return &replica{log: log, onJob: onJob, onTask: onTask, stamps: map[string]uint64{}, dropped: map[string]uint64{}, jobs: map[string]*liveJob{}, gangs: map[string]bool{},
-		recs: map[string]map[chunkRec]value[job.Chunk]{}, marks: map[string]value[part.Mark]{}, parts: map[string]value[part.Record]{}, owns: map[string]value[part.Ownership]{},
+		recs: map[string]map[chunkRec]value[job.Chunk]{}, marks: map[string]value[part.Mark]{}, zones: map[string]value[zonehealth.Record]{}, parts: map[string]value[part.Record]{}, owns: map[string]value[part.Ownership]{},
 		nodes: map[string]value[part.Ownership]{}, pages: map[string]value[part.Page]{}, hosts: map[string]*part.Machine{}, teams: map[string]value[part.Usage]{},
 		onHost: map[string]map[string]*placedTask{}, loads: map[string]*load{}, images: map[string]map[string]bool{}, gone: map[string]bool{}}
 }
@@ -148,6 +151,8 @@
 		err = set(m.teams, id, raw, stamp)
 	case markKey:
 		err = set(m.marks, id, raw, stamp)
+	case zoneKey:
+		err = set(m.zones, id, raw, stamp)
 	}
 	if err != nil {
 		m.log.Error("record can't be read", "key", key, "err", err)
--- a/internal/controller/tending.go
+++ b/internal/controller/tending.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"violetturn/internal/part"
@@ -57,7 +58,7 @@
 	me := c.cfg.HostName
 	n, self := c.replica.nodes[me].v, c.nodeRecord()
 	mark := c.replica.marks[me].v
-	marked := mark != nil && mark.V >= forms
+	marked := mark != nil && mark.V >= forms && slices.Equal(mark.Features, self.Features)
 	if marked && n != nil && n.Incarnation == c.incarnation && n.Mute == self.Mute && n.Hear == self.Hear {
 		return nil
 	}
@@ -65,7 +66,7 @@
 	t.write(nodeKey+me, self)
 	t.permit[nodeKey+me] = c.lease
 	if !marked {
-		t.write(markKey+me, part.Mark{V: forms})
+		t.write(markKey+me, part.Mark{V: forms, Features: self.Features})
 	}
 	return t
 }
--- /dev/null
+++ b/internal/controller/zonegate.go
@@ -0,0 +1,171 @@
+package controller
+
+import (
+	"net/url"
+	"slices"
+	"time"
+
+	"violetturn/internal/api"
+	"violetturn/internal/features"
+	"violetturn/internal/recovery"
+	"violetturn/internal/sched"
+	"violetturn/internal/zonehealth"
+)
+
+// zoneGate is what a job below production may take of zones that return. A nil one lets
+// everything in.
+type zoneGate struct {
+	admission *recovery.Admission
+	share     float64 // of a machine that one of its tasks takes
+}
+
+func (g *zoneGate) admits(zone string) bool { return g == nil || g.admission.Admits(zone, g.share) }
+
+func (g *zoneGate) take(zone string) {
+	if g != nil {
+		g.admission.Take(zone, g.share)
+	}
+}
+
+// trial gives an admission to try things on.
+func (g *zoneGate) trial() *recovery.Admission {
+	if g == nil {
+		return nil
+	}
+	return g.admission.Copy()
+}
+
+// gateOf gives the gate of a job; nil if nothing restricts it. Call with the lock held.
+func (c *Controller) gateOf(j *liveJob, admission *recovery.Admission) *zoneGate {
+	return c.gateOfSpec(&j.main.Spec, admission)
+}
+
+// gateOfSpec is the same for a job that is only described. Call with the lock held.
+func (c *Controller) gateOfSpec(spec *api.Job, admission *recovery.Admission) *zoneGate {
+	if admission == nil {
+		return nil
+	}
+	if priority, _ := api.PriorityOf(spec.Priority); priority == production {
+		return nil
+	}
+	size := need(spec)
+	allowed := func(i int) bool {
+		return spec.MachineTypes == nil || slices.Contains(spec.MachineTypes, c.machineTypes[i].Name)
+	}
+	if !admission.Competes(size, allowed) {
+		return nil
+	}
+	return &zoneGate{admission, recovery.ShareOf(size, c.typeSizes())}
+}
+
+// admission tells what work below production may take of zones that are down or recovering;
+// nil if none is, or the feature is off. It follows from what all controllers replicate, so
+// that all of them, whoever owns the machines, act alike. Call with the lock held.
+func (c *Controller) admission(now time.Time) *recovery.Admission {
+	if len(c.replica.zones) == 0 || !c.switchedOn(features.ZoneRecoveryName) {
+		return nil
+	}
+	limits := c.zoneLimits()
+	zones := map[string]*recovery.Zone{}
+	for id, v := range c.replica.zones {
+		r := v.v
+		lasted := now.Sub(time.UnixMilli(r.SinceMS))
+		if !r.Restricts() || lasted >= limits.Longest { // it ends also if nobody can write that it does
+			continue
+		}
+		z := &recovery.Zone{Window: r.Window(now, limits), Machines: float64(r.Before), Keep: 1}
+		if r.State == zonehealth.Recovering && lasted.Seconds() >= c.features.ZoneRecovery.ProgressAfter*c.cfg.Lease().Seconds() {
+			z.Keep = 1 - c.features.ZoneRecovery.ProgressShare
+		}
+		z.Needs = c.zoneNeeds(zoneName(id), r)
+		zones[zoneName(id)] = z
+	}
+	if len(zones) == 0 {
+		return nil
+	}
+	c.countTaken(zones)
+	return recovery.New(zones, c.protectedSizes(zones), c.typeSizes())
+}
+
+// zoneNeeds gives the production tasks that wait for lost machines of a zone: of own parts
+// as last seen, of peers' as they told. Call with the lock held.
+func (c *Controller) zoneNeeds(zone string, r *zonehealth.Record) []zonehealth.Demand {
+	var needs []zonehealth.Demand
+	own := c.zoneWatch.sights[zone]
+	for p, s := range r.Sights {
+		if _, mine := own[p]; !mine || c.owned(p) == nil {
+			needs = append(needs, s.Waiting...)
+		}
+	}
+	for p, s := range own {
+		if c.owned(p) != nil {
+			needs = append(needs, s.Waiting...)
+		}
+	}
+	return needs
+}
+
+// countTaken counts what work below production has taken of zones since they came back.
+// What was placed before and went on is not counted. Call with the lock held.
+func (c *Controller) countTaken(zones map[string]*recovery.Zone) {
+	types := c.typeSizes()
+	for host, on := range c.replica.onHost {
+		m := c.replica.hosts[host]
+		if m == nil || zones[m.Zone] == nil {
+			continue
+		}
+		since := c.replica.zones[url.PathEscape(m.Zone)].v.SinceMS
+		for _, pl := range on {
+			j := c.replica.jobs[pl.uid]
+			if j == nil {
+				continue
+			}
+			priority, _ := api.PriorityOf(j.main.Spec.Priority)
+			if priority != production && placedMS(j, pl) >= since {
+				zones[m.Zone].Taken += recovery.ShareOf(need(&j.main.Spec), types)
+			}
+		}
+	}
+}
+
+// lostToZone tells whether a task that its machine no longer has went when its zone went
+// down, and is below production. Started again in place it would fill the zone ahead of
+// production work whose machines have not returned. A gang is one whole: it ends and starts
+// anew by its own rules. Call with the lock held.
+func (c *Controller) lostToZone(host string, pl *placedTask, j *liveJob, now time.Time) bool {
+	m := c.replica.hosts[host]
+	if len(c.replica.zones) == 0 || m == nil || isGang(j) {
+		return false
+	}
+	r := c.replica.zones[url.PathEscape(m.Zone)].v
+	limits := c.zoneLimits()
+	if r == nil || !r.Restricts() || now.Sub(time.UnixMilli(r.SinceMS)) >= limits.Longest || r.Window(now, limits) >= 1 {
+		return false
+	}
+	priority, _ := api.PriorityOf(j.main.Spec.Priority)
+	return priority != production && placedMS(j, pl) < r.FailedMS && c.switchedOn(features.ZoneRecoveryName)
+}
+
+// placedMS is when a task was placed, in milliseconds of the time of day.
+func placedMS(j *liveJob, pl *placedTask) int64 { return j.main.AtMS + pl.p.AtS*1000 }
+
+// protectedSizes gives the sizes of production tasks. Call with the lock held.
+func (c *Controller) protectedSizes(zones map[string]*recovery.Zone) []sched.Resources {
+	var out []sched.Resources
+	note := func(size sched.Resources) {
+		if !slices.Contains(out, size) {
+			out = append(out, size)
+		}
+	}
+	for _, j := range c.replica.jobs {
+		if priority, _ := api.PriorityOf(j.main.Spec.Priority); priority == production && !j.main.Cancelled {
+			note(need(&j.main.Spec))
+		}
+	}
+	for _, z := range zones {
+		for _, d := range z.Needs {
+			note(sched.Resources{CPUs: d.Need[0], GPUs: d.Need[1], MemGB: d.Need[2]})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/controller/zonerecovery_test.go
@@ -0,0 +1,201 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"violetturn/internal/api"
+	"violetturn/internal/standin"
+	"violetturn/internal/zonehealth"
+)
+
+// zoneWorld is a world of three zones, a controller at home in each, whose zone x has
+// readers and arrays that are bound to it, and more arrays that wait for room there. The
+// cloud has no more machines to give.
+type zoneWorld struct {
+	*sim
+	t       *testing.T
+	readers []string
+	arrays  []string
+	starts  []zoneStart
+}
+
+// zoneStart is a task that started in zone x.
+type zoneStart struct {
+	at     time.Time
+	uid    string
+	reader bool
+	host   string
+}
+
+const (
+	readerTasks = 8
+	arrayTasks  = 8
+)
+
+// switchOn has a controller run with zone recovery.
+func switchOn(n *simNode) { n.c.features.ZoneRecovery.Enabled = true }
+
+func newZoneWorld(t *testing.T, started func(*simNode)) *zoneWorld {
+	t.Helper()
+	z := &zoneWorld{sim: newSim(), t: t}
+	z.w.Zones = []string{"x", "y", "z"}
+	z.w.Limits = map[string]float64{}
+	z.sim.started = started
+	for i := range z.nodes {
+		z.start(i)
+	}
+	for range 10 {
+		z.round()
+	}
+	for _, zone := range []string{"y", "z"} {
+		z.job(func(r *api.Job, _ *time.Duration) {
+			r.Kind, r.Priority, r.Tasks, r.Zone = api.Service, "production", 4, zone
+		})
+	}
+	for range 2 {
+		z.readers = append(z.readers, z.reader(readerTasks/2))
+	}
+	z.rounds(t, 80, "readers run", func() bool { return z.readersUp() == readerTasks })
+	for range 2 {
+		z.arrays = append(z.arrays, z.array(arrayTasks, time.Hour))
+	}
+	z.rounds(t, 160, "arrays run", func() bool { return z.running(z.arrays[0])+z.running(z.arrays[1]) == 2*arrayTasks })
+	z.w.Cloud.Full = true
+	for range 3 { // they wait for the room of the others
+		z.arrays = append(z.arrays, z.array(arrayTasks, time.Hour))
+	}
+	z.w.AtStart = func(x *standin.Worker, uid string) {
+		if x.Site == "x" {
+			z.starts = append(z.starts, zoneStart{z.w.Now, uid, z.isReader(uid), x.Host})
+		}
+	}
+	for range 30 {
+		z.round()
+	}
+	return z
+}
+
+func (z *zoneWorld) reader(tasks int) string {
+	return z.job(func(r *api.Job, _ *time.Duration) {
+		r.Kind, r.Priority, r.Tasks, r.Zone, r.Image = api.Service, "production", tasks, "x", "reader"
+	})
+}
+
+func (z *zoneWorld) array(tasks int, d time.Duration) string {
+	return z.job(func(r *api.Job, run *time.Duration) {
+		r.Priority, r.Tasks, r.Zone, r.Image, *run = "idle", tasks, "x", "array", d
+	})
+}
+
+func (z *zoneWorld) isReader(uid string) bool { return z.w.Jobs[uid].Run.Kind == api.Service }
+
+func (z *zoneWorld) readersUp() (n int) {
+	for _, uid := range z.readers {
+		n += z.running(uid)
+	}
+	return n
+}
+
+// in lists the machines of zone x, those with readers first.
+func (z *zoneWorld) in() (withReaders, others []*standin.Worker) {
+	for _, x := range z.w.Cloud.Workers() {
+		switch {
+		case x.Site != "x":
+		case len(x.Present()) > 0 && z.isReader(x.Present()[0]):
+			withReaders = append(withReaders, x)
+		default:
+			others = append(others, x)
+		}
+	}
+	return withReaders, others
+}
+
+// cut cuts machines off, or has them return.
+func cutAll(machines []*standin.Worker, cut bool) {
+	for _, x := range machines {
+		x.Cut = cut
+	}
+}
+
+// state gives the zone's state as a controller has it.
+func (z *zoneWorld) state(node int) zonehealth.Record {
+	if v := z.nodes[node].c.replica.zones["x"].v; v != nil {
+		return *v
+	}
+	return zonehealth.Record{}
+}
+
+// until plays until a controller has the zone in a state.
+func (z *zoneWorld) until(state zonehealth.State, node, most int) {
+	z.t.Helper()
+	z.rounds(z.t, most, "zone x is "+string(state), func() bool { return z.state(node).State == state })
+}
+
+// arraysBefore counts the tasks of arrays that started in x before the readers ran again.
+func (z *zoneWorld) arraysBefore(from time.Time) (n int) {
+	readers := 0
+	for _, s := range z.starts {
+		if s.at.Before(from) {
+			continue
+		}
+		if s.reader {
+			readers++
+		} else if readers < readerTasks {
+			n++
+		}
+	}
+	return n
+}
+
+// halfReturns cuts the zone off and lets the machines return that had no readers: those
+// that had are lost.
+func (z *zoneWorld) halfReturns(down bool) (returned time.Time) {
+	withReaders, others := z.in()
+	cutAll(withReaders, true)
+	cutAll(others, true)
+	if down {
+		z.until(zonehealth.Down, 1, 40)
+	} else {
+		for range 20 {
+			z.round()
+		}
+	}
+	for _, x := range withReaders {
+		z.w.Cloud.Kill(x.Host)
+	}
+	cutAll(others, false)
+	return z.w.Now
+}
+
+// Half of a zone returns, without the readers' machines, before these are surely gone: the
+// readers run again before any array has taken a machine there, and then the arrays follow
+// step by step. Without the feature the arrays start first, and are stopped again.
+func TestReadersFirstWhenHalfReturns(t *testing.T) {
+	for _, on := range []bool{true, false} {
+		started := func(*simNode) {}
+		if on {
+			started = switchOn
+		}
+		z := newZoneWorld(t, started)
+		returned := z.halfReturns(on)
+		z.rounds(t, 200, "readers run again", func() bool { return z.readersUp() == readerTasks })
+		after := z.w.Now.Sub(returned)
+		before := z.arraysBefore(returned)
+		t.Logf("feature %t: readers run after %v, %d tasks of arrays started before", on, after, before)
+		if on && before > 1 {
+			t.Errorf("%d tasks of arrays started before the readers ran again", before)
+		}
+		if !on && before <= 1 {
+			t.Error("without the feature no array is ahead: the test shows nothing")
+		}
+		z.rounds(t, 400, "arrays are back", func() bool { return z.arraysUp() >= 2*arrayTasks-readerTasks })
+	}
+}
+
+func (z *zoneWorld) arraysUp() (n int) {
+	for _, uid := range z.arrays {
+		n += z.running(uid)
+	}
+	return n
+}
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -24,12 +24,16 @@
 	Mute        bool   `json:"m,omitempty"` // of a node: its workers don't reach it
 	Hear        bool   `json:"h,omitempty"` // of a node: some worker does
 	V           int    `json:"v,omitempty"` // of a node: the newest forms of records that it reads
+
+	Features []string `json:"f,omitempty"` // of a node: what is switched on there
 }
 
-// Mark is what a node leaves behind of the forms that it reads: it stays when the
+// Mark is what a node leaves behind of the forms that it reads and the features that it has
+// switched on: it stays when the
 // node's own record goes with its hold.
 type Mark struct {
-	V int `json:"v"`
+	V        int      `json:"v"`
+	Features []string `json:"f,omitempty"` // what was switched on there last
 }
 
 // Record is a part's free-room record. Whoever places a task on a machine of
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -39,8 +39,9 @@
 	Jobs   map[string]*Job
 	Broken []string // rules broken
 
-	LateStarts int              // tasks that began to fetch after their user was told that the job is cancelled
-	AtEnd      func(uid string) // hears of each task of a job that completes, at that moment
+	LateStarts int                         // tasks that began to fetch after their user was told that the job is cancelled
+	AtEnd      func(uid string)            // hears of each task of a job that completes, at that moment
+	AtStart    func(x *Worker, uid string) // hears of each task that starts, at that moment
 }
 
 // Job is a job as its user sees it.
@@ -106,6 +107,9 @@
 	j := t.job
 	name := api.TaskName(t.uid, t.index)
 	r := &j.Run
+	if w.AtStart != nil {
+		w.AtStart(x, t.uid)
+	}
 	used := 0.0
 	zones := map[string]int{}
 	for _, h := range w.Cloud.Workers() {
--- /dev/null
+++ b/internal/zonehealth/zonehealth.go
@@ -0,0 +1,223 @@
+// Package zonehealth judges whether a zone is up, down or coming back. It is a pure state
+// machine over one record of the state service that all controllers share: what the owners
+// of parts see of the zone's machines, and the state that follows. A change is committed by
+// conditional write on the record, so that of several controllers one wins and a late one
+// is refused; Number rises with each change of what work may be placed in the zone.
+//
+// Invariants:
+//   - a zone goes down only with a witness: the controller that says so hears machines of
+//     another zone, so that one that is itself cut off never does;
+//   - neither Down nor Recovering outlasts Limits.Longest while controllers can write;
+//   - Number never falls, and Start is halved by a failure soon after another.
+package zonehealth
+
+import (
+	"slices"
+	"time"
+)
+
+// State is what a zone is taken for.
+type State string
+
+// The states of a zone. Nothing but Down and Recovering restricts what may be placed.
+const (
+	Healthy    State = "healthy"
+	Suspect    State = "suspect"    // some machines are lost, perhaps for another reason
+	Down       State = "down"       // most are lost, and other zones' are not
+	Recovering State = "recovering" // machines come back
+)
+
+// Demand is production work that waits for lost machines of the zone: so many tasks of one
+// size.
+type Demand struct {
+	Need  [3]float64 `json:"r"` // processors, accelerators, memory
+	Spot  bool       `json:"l,omitempty"`
+	Tasks int        `json:"n"`
+}
+
+// Sight is what the owner of a part sees of its machines in the zone.
+type Sight struct {
+	Up      int      `json:"u"`
+	Lost    int      `json:"x"`
+	Refused bool     `json:"f,omitempty"` // the cloud rents nothing there
+	Waiting []Demand `json:"w,omitempty"`
+}
+
+// Equal tells whether two sights say the same.
+func (s Sight) Equal(o Sight) bool {
+	return s.Up == o.Up && s.Lost == o.Lost && s.Refused == o.Refused && slices.Equal(s.Waiting, o.Waiting)
+}
+
+// LostShare is the share of the machines that are lost.
+func (s Sight) LostShare() float64 {
+	if s.Lost == 0 {
+		return 0
+	}
+	return float64(s.Lost) / float64(s.Up+s.Lost)
+}
+
+// Empty tells whether the part has no machines in the zone that say anything.
+func (s Sight) Empty() bool { return s.Up+s.Lost == 0 && len(s.Waiting) == 0 }
+
+// Record is a zone's record. The zero record is that of a healthy zone that nobody has
+// seen anything of.
+type Record struct {
+	State    State            `json:"s"`
+	Number   uint64           `json:"n"`           // rises whenever the zone goes down or comes back
+	SinceMS  int64            `json:"at"`          // time of day when the state began
+	FailedMS int64            `json:"f,omitempty"` // when it went down last
+	Start    float64          `json:"w,omitempty"` // share of the zone that lower work may take at first
+	Before   int              `json:"b,omitempty"` // machines there were when it went down
+	Mark     int              `json:"m,omitempty"` // while down the fewest, while recovering the most that were up
+	Sights   map[string]Sight `json:"p,omitempty"` // by part
+}
+
+// Limits are the bounds between the states.
+type Limits struct {
+	SuspectShare, DownShare float64
+	Confirm                 time.Duration // most are lost for so long before the zone is down
+	FirstShare, LeastShare  float64       // of a slow start
+	DoubleEvery             time.Duration // its share doubles so often
+	Longest                 time.Duration // that Down and Recovering last
+}
+
+// fewMachines is how many machines a zone must have to be judged: one or two are as likely
+// lost by themselves.
+const fewMachines = 3
+
+// returnShare is the share of the machines there were before that have to be back for a
+// zone to be recovering.
+const returnShare = 1. / 16
+
+// Counts gives the machines that are up and lost, over all parts.
+func (r *Record) Counts() (up, lost int) {
+	for _, s := range r.Sights {
+		up += s.Up
+		lost += s.Lost
+	}
+	return up, lost
+}
+
+// Refused tells whether the cloud refuses machines there to any owner of a part.
+func (r *Record) Refused() bool {
+	for _, s := range r.Sights {
+		if s.Refused {
+			return true
+		}
+	}
+	return false
+}
+
+// Waiting tells whether production work waits for lost machines.
+func (r *Record) Waiting() bool {
+	for _, s := range r.Sights {
+		if len(s.Waiting) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Restricts tells whether the state restricts what may be placed in the zone.
+func (r *Record) Restricts() bool { return r.State == Down || r.State == Recovering }
+
+// With gives the record with what the owner of a part sees now. The record stays as it is.
+func (r *Record) With(part string, sight Sight) Record {
+	next := *r
+	next.Sights = make(map[string]Sight, len(r.Sights)+1)
+	for p, s := range r.Sights {
+		next.Sights[p] = s
+	}
+	if sight.Empty() {
+		delete(next.Sights, part)
+	} else {
+		next.Sights[part] = sight
+	}
+	return next
+}
+
+// Judge gives the record as it is to be now, by what its sights say. witness tells whether
+// whoever judges hears machines of another zone.
+func (r *Record) Judge(now time.Time, witness bool, limits *Limits) Record {
+	next := *r
+	up, lost := r.Counts()
+	share := Sight{Up: up, Lost: lost}.LostShare()
+	lasted := now.Sub(time.UnixMilli(r.SinceMS))
+	switch r.State {
+	default:
+		if up+lost >= fewMachines && share >= limits.SuspectShare {
+			next.become(Suspect, now)
+		}
+	case Suspect:
+		confirm := limits.Confirm
+		if r.Refused() {
+			confirm /= 2 // the cloud says the same
+		}
+		if share < limits.SuspectShare/2 || share < limits.DownShare && lasted >= limits.Longest {
+			next.become(Healthy, now)
+		} else if share >= limits.DownShare && lasted >= confirm && witness {
+			next.fail(up, lost, now, limits)
+		}
+	case Down:
+		next.Mark = min(r.Mark, up)
+		returned := up-next.Mark >= max(1, int(returnShare*float64(r.Before)))
+		if returned || lost == 0 || lasted >= limits.Longest {
+			next.become(Recovering, now)
+			next.Number++
+			next.Mark = up
+		}
+	case Recovering:
+		next.Mark = max(r.Mark, up)
+		if lost > 0 && float64(up) <= float64(next.Mark)*(1-limits.DownShare) && next.Mark > 0 && witness {
+			next.fail(up, lost, now, limits) // again, in the middle of the recovery
+		} else if lasted >= limits.Longest || share < limits.SuspectShare && !r.Waiting() && next.Window(now, limits) >= 1 {
+			next.become(Healthy, now)
+		}
+	}
+	return next
+}
+
+// become has the state change. Of a healthy zone nothing is kept but how it last failed.
+func (r *Record) become(state State, now time.Time) {
+	r.State, r.SinceMS = state, now.UnixMilli()
+	if state == Healthy {
+		r.Sights, r.Before, r.Mark = nil, 0, 0
+	}
+}
+
+// fail has the zone go down. A failure soon after another halves the slow start.
+func (r *Record) fail(up, lost int, now time.Time, limits *Limits) {
+	again := r.FailedMS > 0 && now.Sub(time.UnixMilli(r.FailedMS)) < 2*limits.Longest
+	if again && r.Start > 0 {
+		r.Start = max(limits.LeastShare, r.Start/2)
+	} else {
+		r.Start = limits.FirstShare
+	}
+	r.Before = max(up+lost, 1)
+	r.Mark = up
+	r.FailedMS = now.UnixMilli()
+	r.Number++
+	r.become(Down, now)
+}
+
+// Window is the share of the zone's machines that work below production may have taken
+// since the zone came back: none while it is down, then a share that doubles, 1 and more
+// without limit. It follows from the record and the time of day, so that all controllers
+// have the same without a write.
+func (r *Record) Window(now time.Time, limits *Limits) float64 {
+	switch r.State {
+	case Down:
+		return 0
+	case Recovering:
+		share := r.Start
+		if share <= 0 {
+			share = limits.FirstShare
+		}
+		passed := max(now.Sub(time.UnixMilli(r.SinceMS)), 0)
+		for ; passed >= limits.DoubleEvery && share < 1; passed -= limits.DoubleEvery {
+			share *= 2
+		}
+		return share
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/zonehealth/zonehealth_test.go
@@ -0,0 +1,198 @@
+package zonehealth
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+func testLimits() *Limits {
+	return &Limits{
+		SuspectShare: 0.25, DownShare: 0.5, Confirm: 5 * time.Second, FirstShare: 1. / 16, LeastShare: 1. / 64,
+		DoubleEvery: 5 * time.Second, Longest: 80 * time.Second,
+	}
+}
+
+// store is a record under conditional write.
+type store struct {
+	record  Record
+	version int
+}
+
+// controller sees some machines of the zone, keeps a copy of the record and writes what it
+// makes of it, on the version that it read.
+type controller struct {
+	part    string
+	sight   Sight
+	witness bool
+	read    Record
+	version int
+}
+
+func (c *controller) catchUp(s *store) { c.read, c.version = s.record, s.version }
+
+// write judges by the copy, and tells whether the store took it.
+func (c *controller) write(s *store, now time.Time) bool {
+	with := c.read.With(c.part, c.sight)
+	next := with.Judge(now, c.witness, testLimits())
+	if c.version != s.version {
+		return false
+	}
+	s.record = next
+	s.version++
+	c.catchUp(s)
+	return true
+}
+
+// checkStep checks what may change from one record to the next.
+func checkStep(t *rapid.T, before, after *Record, witness bool) {
+	if after.Number < before.Number {
+		t.Fatalf("the number falls from %d to %d", before.Number, after.Number)
+	}
+	if after.State == Down && before.State != Down && !witness {
+		t.Fatal("down without a witness")
+	}
+	turned := after.State != before.State && (after.Restricts() || before.State == Down)
+	if turned && after.Number == before.Number {
+		t.Fatalf("%s to %s under the same number", before.State, after.State)
+	}
+	if after.Restricts() && after.Start > testLimits().FirstShare {
+		t.Fatalf("a slow start begins with %g", after.Start)
+	}
+}
+
+// Three controllers see machines lost and found in any order, read late, write with old
+// views and lose their witness: the number only rises, nobody without a witness has the
+// zone down, each failure soon after another halves the slow start, and once nothing more
+// happens the zone is open to all work within three times the longest a state lasts.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &store{}
+		now := time.Unix(1_800_000_000, 0)
+		var nodes []*controller
+		for i := range 3 {
+			nodes = append(nodes, &controller{part: fmt.Sprintf("n%d", i)})
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 12).Draw(t, "seconds")) * time.Second)
+			c := nodes[rapid.IntRange(0, 2).Draw(t, "controller")]
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				all := rapid.IntRange(0, 40).Draw(t, "machines")
+				up := rapid.IntRange(0, all).Draw(t, "up")
+				c.sight = Sight{Up: up, Lost: all - up, Refused: rapid.Bool().Draw(t, "refused")}
+				if up < all && rapid.Bool().Draw(t, "waiting") {
+					c.sight.Waiting = []Demand{{Need: [3]float64{4, 1, 29}, Tasks: all - up}}
+				}
+			case 1:
+				c.witness = rapid.Bool().Draw(t, "witness")
+			case 2:
+				c.catchUp(s)
+			case 3:
+				before := s.record
+				stale := c.version != s.version
+				if c.write(s, now) == stale {
+					t.Fatal("a write on an old version was taken, or one on the newest refused")
+				}
+				checkStep(t, &before, &s.record, c.witness)
+			}
+		}
+		open := false
+		for range 300 { // nothing more happens
+			now = now.Add(time.Second)
+			for _, c := range nodes {
+				c.catchUp(s)
+				before := s.record
+				c.write(s, now)
+				checkStep(t, &before, &s.record, c.witness)
+			}
+			open = open || s.record.Window(now, testLimits()) >= 1
+		}
+		if !open {
+			t.Fatalf("work below production is kept out for ever: %+v", s.record)
+		}
+	})
+}
+
+// sequence plays what one owner sees and lists the states that follow.
+func sequence(witness bool, sights ...Sight) (r Record, states []State) {
+	now := time.Unix(1_800_000_000, 0)
+	for _, s := range sights {
+		r = r.With("p", s)
+		r = r.Judge(now, witness, testLimits())
+		states = append(states, r.State)
+		now = now.Add(6 * time.Second)
+	}
+	return r, states
+}
+
+// The zone's ways: down and back; back by half; back and down again, the second time in
+// the middle of the recovery.
+func TestSequences(t *testing.T) {
+	well, lost, half := Sight{Up: 20}, Sight{Lost: 20}, Sight{Up: 10, Lost: 10}
+	few := Sight{Up: 4, Lost: 16}
+	for _, x := range []struct {
+		name    string
+		witness bool
+		sights  []Sight
+		states  []State
+		number  uint64
+		start   float64
+	}{
+		{"down and back", true, []Sight{well, lost, lost, well}, []State{"", Suspect, Down, Recovering}, 2, 1. / 16},
+		{"half returns", true, []Sight{well, lost, lost, half, half}, []State{"", Suspect, Down, Recovering, Recovering}, 2, 1. / 16},
+		{"down again in the recovery", true, []Sight{lost, lost, few, half, lost}, []State{Suspect, Down, Recovering, Recovering, Down}, 3, 1. / 32},
+		{"a short loss", true, []Sight{well, lost, well}, []State{"", Suspect, Healthy}, 0, 0},
+		{"one zone only, or cut off itself", false, []Sight{lost, lost, lost, lost}, []State{Suspect, Suspect, Suspect, Suspect}, 0, 0},
+		{"two machines", true, []Sight{{Lost: 2}, {Lost: 2}}, []State{"", ""}, 0, 0},
+		{"all given up", true, []Sight{lost, lost, {}}, []State{Suspect, Down, Recovering}, 2, 1. / 16},
+	} {
+		r, states := sequence(x.witness, x.sights...)
+		if d := cmp.Diff(x.states, states); d != "" {
+			t.Errorf("%s: %s", x.name, d)
+		}
+		if r.Number != x.number || r.Start != x.start {
+			t.Errorf("%s: number %d, start %g", x.name, r.Number, r.Start)
+		}
+	}
+}
+
+// A slow start opens the zone step by step, the same for all who read the record.
+func TestWindow(t *testing.T) {
+	at := time.Unix(1_800_000_000, 0)
+	r := Record{State: Recovering, SinceMS: at.UnixMilli(), Start: 1. / 16}
+	for _, x := range []struct {
+		after time.Duration
+		share float64
+	}{{-time.Second, 1. / 16}, {0, 1. / 16}, {5 * time.Second, 1. / 8}, {11 * time.Second, 1. / 4}, {20 * time.Second, 1}, {time.Hour, 1}} {
+		if got := r.Window(at.Add(x.after), testLimits()); got != x.share {
+			t.Errorf("after %v: %g, not %g", x.after, got, x.share)
+		}
+	}
+	down, healthy := Record{State: Down}, Record{}
+	if down.Window(at, testLimits()) != 0 || healthy.Window(at, testLimits()) != 1 {
+		t.Error("down lets work in, or healthy keeps it out")
+	}
+}
+
+// The record reads back the same, and what a later version adds does not harm.
+func TestRecordForm(t *testing.T) {
+	r := Record{State: Down, Number: 7, SinceMS: 3, FailedMS: 2, Start: 0.25, Before: 9, Mark: 1,
+		Sights: map[string]Sight{"n0": {Up: 1, Lost: 8, Refused: true, Waiting: []Demand{{Need: [3]float64{4, 1, 29}, Spot: true, Tasks: 3}}}}}
+	raw, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var back Record
+	if err := json.Unmarshal(raw, &back); err != nil || cmp.Diff(r, back) != "" {
+		t.Error(err, cmp.Diff(r, back))
+	}
+	const form = `{"s":"down","n":7,"at":3,"f":2,"w":0.25,"b":9,"m":1,"p":{"n0":{"u":1,"x":8,"f":true,"w":[{"r":[4,1,29],"l":true,"n":3}]}}}`
+	if string(raw) != form {
+		t.Errorf("recorded as %s", raw)
+	}
+}
