Zone recovery: hard cases, a new owner's view, idle machines of a zone stay

Found by the tests, each with its guard: a part that has just changed hands says nothing of its machines, so its new owner's view no longer has a zone back (Unclear); machines that boot counted as lost before their first answer was due, so an ordinary fill had the zone flap; machines stood idle because work was held back, went back to the cloud as idle and were not to be had again.

--- a/cmd/violetturn/main.go
+++ b/cmd/violetturn/main.go
@@ -24,11 +24,11 @@
 type cli struct {
 	Config   string           `help:"Settings file (TOML) that the platform hands over." required:"" type:"path" placeholder:"FILE"`
 	Policy   string           `help:"Policy file (TOML) with the operators' own expressions. Built-in policy without it." type:"path" placeholder:"FILE"`
-	Features string           `help:"Features file (TOML) that switches new behaviour on. All is off without it." type:"path" placeholder:"FILE"`
+	Features string           `help:"Features file (TOML): new behaviour that is on. None without it." type:"path" placeholder:"FILE"`
 	Profile  string           `help:"Folder for profiles of processor, memory and the state's lock, written when the process is stopped." type:"path" placeholder:"DIR"`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 	Serve    struct{}         `cmd:"" default:"1" help:"Run a controller (the default)."`
-	Check    struct{}         `cmd:"" help:"Check the settings, and the policy if given, and exit."`
+	Check    struct{}         `cmd:"" help:"Check the settings, and the policy and features if given, and exit."`
 }
 
 // exitUsage is the exit code for bad settings or arguments: nothing was served.
@@ -50,23 +50,13 @@
 		fmt.Fprintf(os.Stderr, "violetturn: %v\n", err)
 		return exitUsage
 	}
-	cfg, err := config.Load(args.Config)
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "violetturn: %v\n", err)
-		return exitUsage
-	}
-	policy, err := config.LoadPolicy(args.Policy)
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "violetturn: %v\n", err)
-		return exitUsage
-	}
-	on, err := features.Load(args.Features)
+	in, err := readInputs(&args)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "violetturn: %v\n", err)
 		return exitUsage
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
-	for _, x := range policy.Outdated() {
+	for _, x := range in.policy.Outdated() {
 		log.Warn("policy names a variable as it was called earlier", "old", x.Old, "new", x.New)
 	}
 	if ctx.Command() == "check" {
@@ -75,13 +65,13 @@
 	}
 	// One core's share and little memory: one running thread, and a collector
 	// that works harder before the limit instead of being killed at it.
-	runtime.GOMAXPROCS(cfg.Processors(runtime.NumCPU()))
-	debug.SetMemoryLimit(cfg.MemoryTarget())
+	runtime.GOMAXPROCS(in.settings.Processors(runtime.NumCPU()))
+	debug.SetMemoryLimit(in.settings.MemoryTarget())
 	// What lives is small against the limit, and plans make much that is soon
 	// garbage: collecting a quarter as often saves processor time, of which there
 	// is less. The limit above still holds.
 	debug.SetGCPercent(400)
-	c, err := controller.New(cfg, policy, on, log)
+	c, err := controller.New(in.settings, in.policy, in.features, log)
 	if err != nil {
 		log.Error("not started", "err", err)
 		return 1
@@ -103,6 +93,24 @@
 	return 0
 }
 
+// inputs are the files that a controller is started with, read and checked.
+type inputs struct {
+	settings *config.Settings
+	policy   *config.Policy
+	features *features.Features
+}
+
+func readInputs(args *cli) (in inputs, err error) {
+	if in.settings, err = config.Load(args.Config); err != nil {
+		return in, err
+	}
+	if in.policy, err = config.LoadPolicy(args.Policy); err != nil {
+		return in, err
+	}
+	in.features, err = features.Load(args.Features)
+	return in, err
+}
+
 func logLevel(s string) (slog.Level, error) {
 	switch strings.ToLower(s) {
 	case "", "info":
--- a/internal/controller/idle.go
+++ b/internal/controller/idle.go
@@ -197,6 +197,9 @@
 	if s.Idle.IsZero() {
 		s.Idle = now
 	}
+	if c.returning(m.Zone, now) != nil {
+		return // it is idle because room is kept, or work held back, that will want it soon
+	}
 	if now.Sub(s.Idle).Seconds() > c.policy.Idle(f.BootS, priceOf(f, m.Spot), m.Spot) && !view.isSpare(host) {
 		drain("idle")
 	}
--- a/internal/controller/zonegate.go
+++ b/internal/controller/zonegate.go
@@ -67,12 +67,12 @@
 	}
 	limits := c.zoneLimits()
 	zones := map[string]*recovery.Zone{}
-	for id, v := range c.replica.zones {
-		r := v.v
-		lasted := now.Sub(time.UnixMilli(r.SinceMS))
-		if !r.Restricts() || lasted >= limits.Longest { // it ends also if nobody can write that it does
+	for id := range c.replica.zones {
+		r := c.returning(zoneName(id), now)
+		if r == nil {
 			continue
 		}
+		lasted := now.Sub(time.UnixMilli(r.SinceMS))
 		z := &recovery.Zone{Window: r.Window(now, limits), Machines: float64(r.Before), Keep: 1}
 		if r.State == zonehealth.Recovering && lasted.Seconds() >= c.features.ZoneRecovery.ProgressAfter*c.cfg.Lease().Seconds() {
 			z.Keep = 1 - c.features.ZoneRecovery.ProgressShare
@@ -137,13 +137,22 @@
 	if len(c.replica.zones) == 0 || m == nil || isGang(j) {
 		return false
 	}
-	r := c.replica.zones[url.PathEscape(m.Zone)].v
-	limits := c.zoneLimits()
-	if r == nil || !r.Restricts() || now.Sub(time.UnixMilli(r.SinceMS)) >= limits.Longest || r.Window(now, limits) >= 1 {
-		return false
-	}
 	priority, _ := api.PriorityOf(j.main.Spec.Priority)
-	return priority != production && placedMS(j, pl) < r.FailedMS && c.switchedOn(features.ZoneRecoveryName)
+	r := c.returning(m.Zone, now)
+	return r != nil && r.Window(now, c.zoneLimits()) < 1 && priority != production && placedMS(j, pl) < r.FailedMS
+}
+
+// returning gives the record of a zone that is down or recovering; nil if it is not, or the
+// feature is off. It ends also if nobody can write that it does. Call with the lock held.
+func (c *Controller) returning(zone string, now time.Time) *zonehealth.Record {
+	r := c.replica.zones[url.PathEscape(zone)].v
+	if r == nil || !r.Restricts() || !c.switchedOn(features.ZoneRecoveryName) {
+		return nil
+	}
+	if now.Sub(time.UnixMilli(r.SinceMS)) >= c.zoneLimits().Longest {
+		return nil
+	}
+	return r
 }
 
 // placedMS is when a task was placed, in milliseconds of the time of day.
--- a/internal/controller/zonewatch.go
+++ b/internal/controller/zonewatch.go
@@ -93,8 +93,11 @@
 func (c *Controller) logZones(changed map[string]zonehealth.Record) {
 	for _, zone := range slices.Sorted(maps.Keys(changed)) {
 		r := changed[zone]
-		up, lost := r.Counts()
-		c.log.Info("zone", "zone", zone, "state", r.State, "number", r.Number, "up", up, "lost", lost, "waiting", r.Waiting(), "start", r.Start)
+		sum := r.Sum()
+		c.log.Info(
+			"zone", "zone", zone, "state", r.State, "number", r.Number, "up", sum.Up, "lost", sum.Lost,
+			"unclear", sum.Unclear, "waiting", r.Waiting(), "start", r.Start,
+		)
 	}
 }
 
@@ -136,7 +139,8 @@
 		for _, s := range sights {
 			up, lost = up+s.Up, lost+s.Lost
 		}
-		if all := (zonehealth.Sight{Up: up, Lost: lost}); other != zone && up > 0 && all.LostShare() < c.features.ZoneRecovery.SuspectShare {
+		all := zonehealth.Sight{Up: up, Lost: lost}
+		if other != zone && up > 0 && all.LostShare() < c.features.ZoneRecovery.SuspectShare {
 			return true
 		}
 	}
@@ -167,6 +171,8 @@
 		}
 		sight := seen[m.Part]
 		switch c.seenOf(host, m, s, now) {
+		case machineUnclear:
+			sight.Unclear++
 		case machineUp:
 			sight.Up++
 		case machineLost:
@@ -189,7 +195,8 @@
 type machineSight int
 
 const (
-	machineUnclear machineSight = iota // it boots, is going back, or was not asked yet
+	machineIgnored machineSight = iota // it boots, or is going back
+	machineUnclear                     // not heard of yet under this owner
 	machineUp
 	machineLost
 )
@@ -199,23 +206,25 @@
 	patience := 2 * c.cfg.Report() // who reports at all has done so
 	switch {
 	case s.Gone, s.Drain:
-		return machineUnclear
-	case s.Dark, s.Deaf:
+		return machineIgnored
+	case s.Fenced && s.Deaf:
 		return machineLost
 	case s.Fenced && now.Sub(s.Seen) <= patience:
 		return machineUp
 	case s.Fenced:
 		return machineLost
-	case now.Sub(s.Since) <= patience:
-		return machineUnclear
 	}
 	// Never heard under this term. One that has tasks was up before.
 	_, machineType := c.capOf(m.MachineType)
 	age := float64(now.UnixMilli()-m.AtMS) / 1000
-	if len(c.replica.onHost[host]) > 0 || machineType != nil && age > 2*machineType.BootS && !c.booting[host] {
-		return machineLost
+	boots := len(c.replica.onHost[host]) == 0 && (machineType == nil || age <= 2*machineType.BootS || c.booting[host])
+	switch {
+	case boots:
+		return machineIgnored
+	case now.Sub(s.Since) <= patience:
+		return machineUnclear
 	}
-	return machineUnclear
+	return machineLost
 }
 
 // addWaiting counts the production tasks of a lost machine. Call with the lock held.
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -13,7 +13,7 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
-// Names of the features, as controllers tell each other what they have switched on.
+// ZoneRecoveryName is how controllers tell each other that they have ZoneRecovery on.
 const ZoneRecoveryName = "zone_recovery"
 
 // ZoneRecovery has production work run again first when a zone returns. Times are ratios to
