--- a/internal/controller/zonecases_test.go
+++ b/internal/controller/zonecases_test.go
@@ -68,6 +68,23 @@
 	z.recovers(2*arrayTasks - readerTasks)
 }
 
+// So few machines return while the readers' are still in doubt that the slow start alone
+// would give arrays the room that the readers need: it is kept for them.
+func TestReservationKeepsRoom(t *testing.T) {
+	z := newZoneWorldWithLease(t, 30*time.Second, switchOn)
+	_, others := z.drop()
+	const returning = 5
+	for _, x := range others[returning:] {
+		z.w.Cloud.Kill(x.Host)
+	}
+	returned := z.w.Now
+	cutAll(others[:returning], false)
+	z.rounds(t, 300, "readers run again", func() bool { return z.readersUp() == readerTasks })
+	if n, beyond := z.arraysBefore(returned), 2*returning-readerTasks; n > beyond {
+		t.Errorf("%d tasks of arrays started before the readers, with room for %d", n, beyond)
+	}
+}
+
 // A reservation ends when what the readers lack can't be had: so little returns that they
 // don't all fit, and some arrays that fit nowhere else still go on after a while.
 func TestReservationEnds(t *testing.T) {
--- a/internal/controller/zonerecovery_test.go
+++ b/internal/controller/zonerecovery_test.go
@@ -37,8 +37,14 @@
 func switchOn(n *simNode) { n.c.features.ZoneRecovery.Enabled = true }
 
 func newZoneWorld(t *testing.T, started func(*simNode)) *zoneWorld {
+	t.Helper()
+	return newZoneWorldWithLease(t, 9*time.Second, started)
+}
+
+func newZoneWorldWithLease(t *testing.T, lease time.Duration, started func(*simNode)) *zoneWorld {
 	t.Helper()
 	z := &zoneWorld{sim: newSim(), t: t}
+	z.w.Lease, z.w.CancelS = lease, 4*lease
 	z.w.Zones = []string{"x", "y", "z"}
 	z.w.Limits = map[string]float64{}
 	z.sim.started = started
