--- a/internal/controller/zonecases_test.go
+++ b/internal/controller/zonecases_test.go
@@ -72,9 +72,9 @@
 // would give arrays the room that the readers need: it is kept for them.
 func TestReservationKeepsRoom(t *testing.T) {
 	z := newZoneWorldWithLease(t, 30*time.Second, switchOn)
-	_, others := z.drop()
+	withReaders, others := z.drop()
 	const returning = 5
-	for _, x := range others[returning:] {
+	for _, x := range slices.Concat(withReaders, others[returning:]) {
 		z.w.Cloud.Kill(x.Host)
 	}
 	returned := z.w.Now
