--- a/cmd/violetturn/processes_test.go
+++ b/cmd/violetturn/processes_test.go
@@ -29,7 +29,7 @@
 // cluster is some controllers that run as processes on the loopback network, with the
 // stand-ins that they need.
 type cluster struct {
-	b       *testing.B
+	b       testing.TB
 	d       *standin.Deployment
 	server  *standin.Server
 	nodes   []string // addresses for users and workers
@@ -40,7 +40,7 @@
 	running sync.WaitGroup
 }
 
-func serve(b *testing.B, addr string, h http.Handler) string {
+func serve(b testing.TB, addr string, h http.Handler) string {
 	b.Helper()
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -53,7 +53,7 @@
 }
 
 // freeAddr gives an address that nobody listens on.
-func freeAddr(b *testing.B) string {
+func freeAddr(b testing.TB) string {
 	b.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -63,7 +63,7 @@
 	return l.Addr().String()
 }
 
-func newCluster(b *testing.B, d *standin.Deployment) *cluster {
+func newCluster(b testing.TB, d *standin.Deployment) *cluster {
 	c := &cluster{b: b, d: d, server: standin.NewServer(d.World(time.Now())), rnd: rand.New(rand.NewPCG(1, 1)), stop: make(chan struct{}),
 		client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 3000, MaxIdleConns: 0, IdleConnTimeout: time.Minute}}}
 	return c
@@ -270,7 +270,7 @@
 					known[host] = r
 				}
 				state := ""
-				if x.Up() && !r.sending {
+				if x.Up() && !x.Cut && !r.sending {
 					state = x.Summary()
 				}
 				if state == "" || w.Now.Before(r.next) &&
@@ -296,7 +296,7 @@
 	status, body := c.send(node, "POST", "/checkin", report)
 	c.server.With(func(w *standin.World) {
 		x := w.Cloud.Hosts[host]
-		if x == nil {
+		if x == nil || x.Cut { // the answer is lost
 			return
 		}
 		o, steward, err := standin.ParseAnswer(body)
--- /dev/null
+++ b/cmd/violetturn/zoneloopback_test.go
@@ -0,0 +1,339 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"violetturn/internal/api"
+	"violetturn/internal/config"
+	"violetturn/internal/standin"
+)
+
+const (
+	loopbackReaders = 6 // tasks of services bound to zone x
+	loopbackArrays  = 4 // arrays bound to zone x
+	loopbackTasks   = 8 // of each of them
+	loopbackWait    = 90 * time.Second
+)
+
+// loopbackDeployment is small, and its workers report and are given up soon.
+func loopbackDeployment() *standin.Deployment {
+	return &standin.Deployment{
+		Name: "loopback", ReportS: 0.5, LeaseS: 4, CancelS: 24, Boot: 6 * time.Second, Pull: 500 * time.Millisecond,
+		Flavor: standin.Flavor{Label: "m", CPUs: 12, GPUs: 2, MemGB: 96},
+		State:  config.StateLimits{RPS: 300, WriteRPS: 100, ValueKB: 8, TxnOps: 16},
+	}
+}
+
+// startInX is a task that started in zone x.
+type startInX struct {
+	at     time.Time
+	uid    string
+	host   string
+	reader bool
+}
+
+// zoneCluster is three controllers as processes, with stand-in workers in three zones.
+type zoneCluster struct {
+	*cluster
+	t         *testing.T
+	program   string
+	files     []string
+	features  string
+	processes []*exec.Cmd
+	uids      []string
+	readers   []string // of them, the services in zone x
+	history   []startInX // guarded by the server's lock
+}
+
+func newZoneCluster(t *testing.T) *zoneCluster {
+	t.Helper()
+	z := &zoneCluster{t: t, cluster: newCluster(t, loopbackDeployment()), processes: make([]*exec.Cmd, processNodes)}
+	dir := t.TempDir()
+	z.program = filepath.Join(dir, "violetturn")
+	if out, err := exec.Command("go", "build", "-o", z.program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	z.features = filepath.Join(dir, "features.toml")
+	if err := os.WriteFile(z.features, []byte("[zone_recovery]\nenabled = true\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	z.files = z.settings(dir)
+	z.server.With(func(w *standin.World) {
+		w.Lag = time.Second
+		w.AtStart = func(x *standin.Worker, uid string) {
+			if x.Site == "x" {
+				z.history = append(z.history, startInX{w.Now, uid, x.Host, w.Jobs[uid].Run.Kind == api.Service})
+			}
+		}
+	})
+	for i := range z.processes {
+		z.start(i)
+	}
+	t.Cleanup(z.end)
+	z.every(50*time.Millisecond, z.server.Tick)
+	z.workers()
+	return z
+}
+
+func (z *zoneCluster) start(i int) {
+	z.t.Helper()
+	log, err := os.OpenFile(filepath.Join(filepath.Dir(z.program), fmt.Sprintf("n%d.log", i)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		z.t.Fatal(err)
+	}
+	p := exec.Command(z.program, "--features", z.features, "--config", z.files[i])
+	p.Stderr = log
+	if err := p.Start(); err != nil {
+		z.t.Fatal(err)
+	}
+	z.processes[i] = p
+}
+
+// kill ends a controller without a word.
+func (z *zoneCluster) kill(i int) {
+	_ = z.processes[i].Process.Kill() // it may have ended
+	_ = z.processes[i].Wait()         // and says that it was killed
+}
+
+// end ends all processes, and shows what the controllers logged if the test failed.
+func (z *zoneCluster) end() {
+	for i := range z.processes {
+		z.kill(i)
+	}
+	close(z.stop)
+	z.running.Wait()
+	if !z.t.Failed() {
+		return
+	}
+	for i := range z.processes {
+		raw, err := os.ReadFile(filepath.Join(filepath.Dir(z.program), fmt.Sprintf("n%d.log", i)))
+		if err != nil {
+			z.t.Error(err)
+		}
+		for _, line := range strings.Split(string(raw), "\n") {
+			if strings.Contains(line, "msg=zone ") || strings.Contains(line, "part ") || strings.Contains(line, "task placed") || strings.Contains(line, "drained") {
+				z.t.Log(fmt.Sprintf("n%d ", i) + line)
+			}
+		}
+	}
+}
+
+// submit submits a job until a controller accepts it.
+func (z *zoneCluster) submit(change func(r *api.Job), runTime time.Duration) string {
+	z.t.Helper()
+	run := api.Job{
+		UID: fmt.Sprintf("run-%06d", len(z.uids)), Class: "array", Team: "a", Kind: api.Array, Priority: "idle", Tasks: loopbackTasks,
+		CPUs: 4, GPUs: 1, MemGB: 29, Image: "array", ImageGB: 1, Zone: "x",
+	}
+	change(&run)
+	z.uids = append(z.uids, run.UID)
+	z.server.With(func(w *standin.World) {
+		w.Jobs[run.UID] = &standin.Job{Run: run, RunTime: runTime, Done: map[int]bool{}}
+	})
+	z.wait(run.UID+" is accepted", func() bool {
+		status, body := z.send(z.random(processNodes), "POST", "/v2/runs", standin.Submission(&run))
+		z.told(run.UID, status, body, true)
+		return status == 200 || status == 201
+	})
+	return run.UID
+}
+
+// told has the world check what a user was told.
+func (z *zoneCluster) told(uid string, status int, body []byte, submission bool) (phase string) {
+	var a struct {
+		Phase string `json:"phase"`
+	}
+	_ = json.Unmarshal(body, &a) // an answer without a phase has none
+	z.server.With(func(w *standin.World) { w.Told(uid, status, a.Phase, submission) })
+	return a.Phase
+}
+
+// wait asks again until something is so. How long it takes is not judged.
+func (z *zoneCluster) wait(what string, ok func() bool) {
+	z.t.Helper()
+	for end := time.Now().Add(loopbackWait); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	z.t.Fatalf("%s: not within %v", what, loopbackWait)
+}
+
+// readersUp counts the readers' tasks that run in zone x on machines that can be reached.
+func (z *zoneCluster) readersUp() int { return z.runningInX(z.readers...) }
+
+// runningInX counts the tasks of jobs that run in zone x on machines that can be reached.
+func (z *zoneCluster) runningInX(uids ...string) (n int) {
+	z.server.With(func(w *standin.World) {
+		for _, x := range w.Cloud.Workers() {
+			for _, task := range x.Report().Tasks {
+				uid, _, _ := api.SplitTaskName(task.Task)
+				if x.Site == "x" && !x.Cut && slices.Contains(uids, uid) && task.Phase == api.Running {
+					n++
+				}
+			}
+		}
+	})
+	return n
+}
+
+// machines lists the machines of zone x, those with readers first.
+func (z *zoneCluster) machines() (withReaders, others []*standin.Worker) {
+	z.server.With(func(w *standin.World) {
+		for _, x := range w.Cloud.Workers() {
+			if x.Site != "x" {
+				continue
+			}
+			if present := x.Present(); len(present) > 0 && w.Jobs[present[0]].Run.Kind == api.Service {
+				withReaders = append(withReaders, x)
+			} else {
+				others = append(others, x)
+			}
+		}
+	})
+	return withReaders, others
+}
+
+func (z *zoneCluster) cut(machines []*standin.Worker, cut bool) {
+	z.server.With(func(*standin.World) {
+		for _, x := range machines {
+			x.Cut = cut
+		}
+	})
+}
+
+// lose has machines end for good.
+func (z *zoneCluster) lose(machines []*standin.Worker) {
+	z.server.With(func(w *standin.World) {
+		for _, x := range machines {
+			w.Cloud.Kill(x.Host)
+		}
+	})
+}
+
+// zoneIs tells whether the zone's record has a state.
+func (z *zoneCluster) zoneIs(state string) func() bool {
+	return func() (is bool) {
+		z.server.With(func(w *standin.World) {
+			for _, item := range w.Store.Items("live/z/x") {
+				is = strings.Contains(string(item.Value), `"s":"`+state+`"`)
+			}
+		})
+		return is
+	}
+}
+
+// checkReadersFirst checks the history since a return: arrays have started no more tasks
+// before the last of the readers than the machines that returned take beside them.
+func (z *zoneCluster) checkReadersFirst(when string, since time.Time, machines int) {
+	z.t.Helper()
+	z.server.With(func(*standin.World) {
+		readers, arrays := 0, 0
+		for _, s := range z.history {
+			switch {
+			case s.at.Before(since):
+			case s.reader:
+				readers++
+			case readers < loopbackReaders:
+				arrays++
+			}
+		}
+		if beside := 2*machines - loopbackReaders; arrays > max(beside, 0) {
+			z.t.Errorf("%s: %d tasks of arrays started before the readers, with room for %d beside them", when, arrays, beside)
+			for _, s := range z.history {
+				z.t.Logf("%v %s on %s, reader %t", s.at.Sub(since), s.uid, s.host, s.reader)
+			}
+		}
+		z.t.Logf("%s: %d readers' tasks started, %d of arrays before the last", when, readers, arrays)
+	})
+}
+
+// now is the world's time.
+func (z *zoneCluster) now() (now time.Time) {
+	z.server.With(func(w *standin.World) { now = w.Now })
+	return now
+}
+
+// Three controllers as processes, stand-in workers in three zones: zone x with its
+// controller is killed, a part of it returns, it flaps, and then it stays. The readers come
+// before the arrays each time, all arrays end, and no rule is broken.
+//
+// One machine plays all of it over loopback with leases of four seconds; only the order of
+// what happened is judged, never how long it took.
+func TestZoneReturnsOnLoopback(t *testing.T) {
+	z := newZoneCluster(t)
+	service := func(zone string, tasks int) func(*api.Job) {
+		return func(r *api.Job) {
+			r.Class, r.Kind, r.Priority, r.Tasks, r.Zone, r.Image = "service", api.Service, "production", tasks, zone, "reader"
+		}
+	}
+	z.submit(service("y", 6), 0)
+	z.submit(service("z", 6), 0)
+	for range 2 {
+		z.readers = append(z.readers, z.submit(service("x", loopbackReaders/2), 0))
+	}
+	z.wait("readers run", func() bool { return z.readersUp() == loopbackReaders })
+	var arrays []string
+	for range loopbackArrays {
+		arrays = append(arrays, z.submit(func(*api.Job) {}, 8*time.Second))
+	}
+	z.wait("arrays run beside them", func() bool { return z.runningInX(arrays...) >= 2*loopbackTasks })
+	z.server.With(func(w *standin.World) { w.Cloud.Full = true })
+
+	withReaders, others := z.machines()
+	z.kill(0)
+	z.cut(withReaders, true)
+	z.cut(others, true)
+	z.wait("the zone is down", z.zoneIs("down"))
+	const returning = 5
+	z.lose(append(withReaders, others[returning:]...))
+	returned := z.now()
+	z.cut(others[:returning], false)
+	z.start(0)
+	z.wait("readers run again", func() bool { return z.readersUp() == loopbackReaders })
+	z.checkReadersFirst("part returned", returned, returning)
+	z.server.With(func(w *standin.World) { w.Cloud.Full = false })
+
+	withReaders, now := z.machines()
+	z.cut(withReaders, true)
+	z.cut(now, true)
+	z.wait("the zone is down again", z.zoneIs("down"))
+	z.cut(now, false)
+	z.wait("the zone returns", func() bool { return z.zoneIs("recovering")() || z.zoneIs("healthy")() })
+	z.cut(now, true)
+	z.wait("and goes a third time", z.zoneIs("down"))
+	z.wait("nothing runs there any more", func() (none bool) {
+		z.server.With(func(*standin.World) {
+			none = true
+			for _, x := range append(withReaders, now...) {
+				none = none && len(x.Present()) == 0
+			}
+		})
+		return none
+	})
+	returned = z.now()
+	z.cut(now, false)
+	z.cut(withReaders, false)
+	z.wait("readers run again", func() bool { return z.readersUp() == loopbackReaders })
+	z.checkReadersFirst("flapped", returned, len(withReaders)+len(now))
+
+	for _, uid := range arrays {
+		z.wait(uid+" is done", func() bool {
+			status, body := z.send(z.random(processNodes), "GET", "/v2/runs/"+uid, nil)
+			return z.told(uid, status, body, false) == api.Done
+		})
+	}
+	z.server.With(func(w *standin.World) {
+		for _, broken := range w.Broken {
+			t.Error(broken)
+		}
+	})
+}
--- a/internal/controller/zonewatch.go
+++ b/internal/controller/zonewatch.go
@@ -172,7 +172,10 @@
 		sight := seen[m.Part]
 		switch c.seenOf(host, m, s, now) {
 		case machineUnclear:
+			// Its new owner knows no more than the last one did that their machines are
+			// lost: room for them is kept until they are heard of.
 			sight.Unclear++
+			c.addWaiting(waiting, host, m)
 		case machineUp:
 			sight.Up++
 		case machineLost:
@@ -227,7 +230,7 @@
 	return machineLost
 }
 
-// addWaiting counts the production tasks of a lost machine. Call with the lock held.
+// addWaiting counts the production tasks of a machine that is not heard. Call with the lock held.
 func (c *Controller) addWaiting(waiting map[string]map[string]map[zonehealth.Demand]int, host string, m *part.Machine) {
 	for _, pl := range c.replica.onHost[host] {
 		j := c.replica.jobs[pl.uid]
