--- a/cmd/violetturn/zoneloopback_test.go
+++ b/cmd/violetturn/zoneloopback_test.go
@@ -38,6 +38,7 @@
 	uid    string
 	host   string
 	reader bool
+	arrays int // tasks of arrays that were in the zone at that moment
 }
 
 // zoneCluster is three controllers as processes, with stand-in workers in three zones.
@@ -49,7 +50,7 @@
 	features  string
 	processes []*exec.Cmd
 	uids      []string
-	readers   []string // of them, the services in zone x
+	readers   []string   // of them, the services in zone x
 	history   []startInX // guarded by the server's lock
 }
 
@@ -70,7 +71,7 @@
 		w.Lag = time.Second
 		w.AtStart = func(x *standin.Worker, uid string) {
 			if x.Site == "x" {
-				z.history = append(z.history, startInX{w.Now, uid, x.Host, w.Jobs[uid].Run.Kind == api.Service})
+				z.history = append(z.history, startInX{w.Now, uid, x.Host, w.Jobs[uid].Run.Kind == api.Service, arraysInX(w)})
 			}
 		}
 	})
@@ -83,9 +84,25 @@
 	return z
 }
 
+// arraysInX counts the tasks of arrays in zone x.
+func arraysInX(w *standin.World) (n int) {
+	for _, x := range w.Cloud.Workers() {
+		if x.Site != "x" {
+			continue
+		}
+		for _, uid := range x.Present() {
+			if w.Jobs[uid].Run.Kind == api.Array {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (z *zoneCluster) start(i int) {
 	z.t.Helper()
-	log, err := os.OpenFile(filepath.Join(filepath.Dir(z.program), fmt.Sprintf("n%d.log", i)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	name := filepath.Join(filepath.Dir(z.program), fmt.Sprintf("n%d.log", i))
+	log, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		z.t.Fatal(err)
 	}
@@ -119,7 +136,8 @@
 			z.t.Error(err)
 		}
 		for _, line := range strings.Split(string(raw), "\n") {
-			if strings.Contains(line, "msg=zone ") || strings.Contains(line, "part ") || strings.Contains(line, "task placed") || strings.Contains(line, "drained") {
+			told := func(what string) bool { return strings.Contains(line, what) }
+			if slices.ContainsFunc([]string{"msg=zone ", "part ", "task placed", "drained"}, told) {
 				z.t.Log(fmt.Sprintf("n%d ", i) + line)
 			}
 		}
@@ -231,28 +249,29 @@
 	}
 }
 
-// checkReadersFirst checks the history since a return: arrays have started no more tasks
-// before the last of the readers than the machines that returned take beside them.
+// checkReadersFirst checks the history since a return to an empty zone: until the last of
+// the readers started, arrays never had more tasks there at a time than the machines that
+// returned take beside the readers.
 func (z *zoneCluster) checkReadersFirst(when string, since time.Time, machines int) {
 	z.t.Helper()
 	z.server.With(func(*standin.World) {
-		readers, arrays := 0, 0
+		readers, most := 0, 0
 		for _, s := range z.history {
 			switch {
 			case s.at.Before(since):
 			case s.reader:
 				readers++
 			case readers < loopbackReaders:
-				arrays++
+				most = max(most, s.arrays)
 			}
 		}
-		if beside := 2*machines - loopbackReaders; arrays > max(beside, 0) {
-			z.t.Errorf("%s: %d tasks of arrays started before the readers, with room for %d beside them", when, arrays, beside)
+		if beside := max(2*machines-loopbackReaders, 0); most > beside {
+			z.t.Errorf("%s: %d tasks of arrays ran before the readers, with room for %d beside them", when, most, beside)
 			for _, s := range z.history {
-				z.t.Logf("%v %s on %s, reader %t", s.at.Sub(since), s.uid, s.host, s.reader)
+				z.t.Logf("%v %s on %s, reader %t, %d of arrays", s.at.Sub(since), s.uid, s.host, s.reader, s.arrays)
 			}
 		}
-		z.t.Logf("%s: %d readers' tasks started, %d of arrays before the last", when, readers, arrays)
+		z.t.Logf("%s: %d readers' tasks started, at most %d of arrays ran before the last", when, readers, most)
 	})
 }
 
@@ -270,6 +289,24 @@
 // what happened is judged, never how long it took.
 func TestZoneReturnsOnLoopback(t *testing.T) {
 	z := newZoneCluster(t)
+	arrays := z.fill()
+	z.partReturns()
+	z.flaps()
+	for _, uid := range arrays {
+		z.wait(uid+" is done", func() bool {
+			status, body := z.send(z.random(processNodes), "GET", "/v2/runs/"+uid, nil)
+			return z.told(uid, status, body, false) == api.Done
+		})
+	}
+	z.server.With(func(w *standin.World) {
+		for _, broken := range w.Broken {
+			t.Error(broken)
+		}
+	})
+}
+
+// fill has readers and arrays run in zone x, and readers elsewhere. It gives the arrays.
+func (z *zoneCluster) fill() (arrays []string) {
 	service := func(zone string, tasks int) func(*api.Job) {
 		return func(r *api.Job) {
 			r.Class, r.Kind, r.Priority, r.Tasks, r.Zone, r.Image = "service", api.Service, "production", tasks, zone, "reader"
@@ -281,18 +318,22 @@
 		z.readers = append(z.readers, z.submit(service("x", loopbackReaders/2), 0))
 	}
 	z.wait("readers run", func() bool { return z.readersUp() == loopbackReaders })
-	var arrays []string
 	for range loopbackArrays {
 		arrays = append(arrays, z.submit(func(*api.Job) {}, 8*time.Second))
 	}
 	z.wait("arrays run beside them", func() bool { return z.runningInX(arrays...) >= 2*loopbackTasks })
-	z.server.With(func(w *standin.World) { w.Cloud.Full = true })
+	return arrays
+}
 
+// partReturns has the zone and its controller go, and five machines without readers return.
+func (z *zoneCluster) partReturns() {
+	z.server.With(func(w *standin.World) { w.Cloud.Full = true })
 	withReaders, others := z.machines()
 	z.kill(0)
 	z.cut(withReaders, true)
 	z.cut(others, true)
 	z.wait("the zone is down", z.zoneIs("down"))
+	z.waitEmpty(append(withReaders, others...))
 	const returning = 5
 	z.lose(append(withReaders, others[returning:]...))
 	returned := z.now()
@@ -301,39 +342,32 @@
 	z.wait("readers run again", func() bool { return z.readersUp() == loopbackReaders })
 	z.checkReadersFirst("part returned", returned, returning)
 	z.server.With(func(w *standin.World) { w.Cloud.Full = false })
+}
 
-	withReaders, now := z.machines()
-	z.cut(withReaders, true)
-	z.cut(now, true)
-	z.wait("the zone is down again", z.zoneIs("down"))
-	z.cut(now, false)
-	z.wait("the zone returns", func() bool { return z.zoneIs("recovering")() || z.zoneIs("healthy")() })
-	z.cut(now, true)
-	z.wait("and goes a third time", z.zoneIs("down"))
+// waitEmpty waits until nothing runs on machines any more.
+func (z *zoneCluster) waitEmpty(machines []*standin.Worker) {
 	z.wait("nothing runs there any more", func() (none bool) {
 		z.server.With(func(*standin.World) {
-			none = true
-			for _, x := range append(withReaders, now...) {
-				none = none && len(x.Present()) == 0
-			}
+			none = !slices.ContainsFunc(machines, func(x *standin.Worker) bool { return len(x.Present()) > 0 })
 		})
 		return none
 	})
-	returned = z.now()
-	z.cut(now, false)
-	z.cut(withReaders, false)
-	z.wait("readers run again", func() bool { return z.readersUp() == loopbackReaders })
-	z.checkReadersFirst("flapped", returned, len(withReaders)+len(now))
+}
 
-	for _, uid := range arrays {
-		z.wait(uid+" is done", func() bool {
-			status, body := z.send(z.random(processNodes), "GET", "/v2/runs/"+uid, nil)
-			return z.told(uid, status, body, false) == api.Done
-		})
-	}
-	z.server.With(func(w *standin.World) {
-		for _, broken := range w.Broken {
-			t.Error(broken)
-		}
-	})
+// flaps has the zone go, return for a moment, and go again until nothing runs there.
+func (z *zoneCluster) flaps() {
+	withReaders, others := z.machines()
+	z.cut(withReaders, true)
+	z.cut(others, true)
+	z.wait("the zone is down again", z.zoneIs("down"))
+	z.cut(others, false)
+	z.wait("the zone returns", func() bool { return z.zoneIs("recovering")() || z.zoneIs("healthy")() })
+	z.cut(others, true)
+	z.wait("and goes a third time", z.zoneIs("down"))
+	all := append(withReaders, others...)
+	z.waitEmpty(all)
+	returned := z.now()
+	z.cut(all, false)
+	z.wait("readers run again", func() bool { return z.readersUp() == loopbackReaders })
+	z.checkReadersFirst("flapped", returned, len(all))
 }
--- a/internal/controller/zonecases_test.go
+++ b/internal/controller/zonecases_test.go
@@ -93,6 +93,37 @@
 	}
 }
 
+// Room is kept for a production task until its end is committed and it waits in the queue:
+// also in the seconds in which a new owner has heard of nothing yet, and in those between
+// its machine's return to the cloud and the commit. Arrays took it in both.
+func TestRoomIsKeptUntilEndsAreCommitted(t *testing.T) {
+	z := newZoneWorld(t, switchOn)
+	withReaders, _ := z.drop()
+	owner := slices.IndexFunc(z.nodes, func(n *simNode) bool { return n.c.owned("n0") != nil })
+	c := z.nodes[owner].c
+	waiting := func() (tasks int) {
+		for _, d := range c.zoneSights(c.now())["x"]["n0"].Waiting {
+			tasks += d.Tasks
+		}
+		return tasks
+	}
+	if n := waiting(); n != readerTasks {
+		t.Fatalf("lost: room for %d tasks", n)
+	}
+	for _, x := range withReaders {
+		c.sessions[x.Host].Gone = true
+	}
+	if n := waiting(); n != readerTasks {
+		t.Errorf("gone: room for %d tasks", n)
+	}
+	for _, x := range withReaders {
+		c.sessions[x.Host] = part.NewSession(c.sessions[x.Host].Term, c.now(), c.now())
+	}
+	if n := waiting(); n != readerTasks {
+		t.Errorf("not heard of yet: room for %d tasks", n)
+	}
+}
+
 // A reservation ends when what the readers lack can't be had: so little returns that they
 // don't all fit, and some arrays that fit nowhere else still go on after a while.
 func TestReservationEnds(t *testing.T) {
--- a/internal/controller/zonewatch.go
+++ b/internal/controller/zonewatch.go
@@ -170,16 +170,19 @@
 			continue
 		}
 		sight := seen[m.Part]
-		switch c.seenOf(host, m, s, now) {
+		what := c.seenOf(host, m, s, now)
+		switch what {
 		case machineUnclear:
-			// Its new owner knows no more than the last one did that their machines are
-			// lost: room for them is kept until they are heard of.
 			sight.Unclear++
-			c.addWaiting(waiting, host, m)
 		case machineUp:
 			sight.Up++
 		case machineLost:
 			sight.Lost++
+		}
+		// Until its end is committed a task is placed, and waits in no queue: room for it is
+		// kept also while a new owner has not heard of its machine yet, and when the machine
+		// is known to be gone.
+		if what != machineUp {
 			c.addWaiting(waiting, host, m)
 		}
 		seen[m.Part] = sight
@@ -208,7 +211,7 @@
 func (c *Controller) seenOf(host string, m *part.Machine, s *part.Session, now time.Time) machineSight {
 	patience := 2 * c.cfg.Report() // who reports at all has done so
 	switch {
-	case s.Gone, s.Drain:
+	case s.Gone, s.Drain && now.Sub(s.Seen) > patience:
 		return machineIgnored
 	case s.Fenced && s.Deaf:
 		return machineLost
