Zone recovery: arrays that went with their zone keep their places

Placing all of a zone's arrays anew takes the changes that the readers' placements need, 25 a second for all.

Change: an array's task that went with its zone keeps its place, which production may take without waiting for a save, and starts there when its machine opens: by the slow start, less what the readers that wait need.

--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -166,11 +166,10 @@
 			x.c.log.Info("worker does not obey", "host", x.report.Host, "task", pl.name(j), "launches", s.Sent[id].N)
 		}
 		x.release(id, part.Release{Try: try, Exit: job.ExitRefused})
-	case x.c.lostToZone(x.report.Host, pl, j, x.now):
-		// It went with its zone, and what needs its room more goes first: it is placed
-		// anew when its turn comes. Not being on the machine it starts from its last
-		// checkpoint there or elsewhere.
-		x.release(id, part.Release{Try: try})
+	case x.c.heldBack(x.report.Host, pl, j, x.now):
+		// It went with its zone, and what needs its room more goes first. It keeps its
+		// place, which production may take, and starts there when its turn comes: to place
+		// a zone's arrays anew would take the changes that the readers' placements need.
 	case !s.Dead(x.now, x.c.cfg.LeaseBound()):
 		x.starts = append(x.starts, start{id, attempt{pl.name(j), try}, need(&j.main.Spec)})
 	}
--- a/internal/controller/zonegate.go
+++ b/internal/controller/zonegate.go
@@ -128,18 +128,45 @@
 	}
 }
 
-// lostToZone tells whether a task that its machine no longer has went when its zone went
-// down, and is below production. Started again in place it would fill the zone ahead of
-// production work whose machines have not returned. A gang is one whole: it ends and starts
-// anew by its own rules. Call with the lock held.
-func (c *Controller) lostToZone(host string, pl *placedTask, j *liveJob, now time.Time) bool {
+// heldBack tells whether a task below production that its machine no longer has, and that
+// went when its zone went down, does not start again in place yet. All at once they would
+// fill the zone ahead of production work whose machines have not returned. A gang is one
+// whole: it ends and starts anew by its own rules. Call with the lock held.
+func (c *Controller) heldBack(host string, pl *placedTask, j *liveJob, now time.Time) bool {
 	m := c.replica.hosts[host]
 	if len(c.replica.zones) == 0 || m == nil || isGang(j) {
 		return false
 	}
 	priority, _ := api.PriorityOf(j.main.Spec.Priority)
 	r := c.returning(m.Zone, now)
-	return r != nil && r.Window(now, c.zoneLimits()) < 1 && priority != production && placedMS(j, pl) < r.FailedMS
+	return r != nil && priority != production && placedMS(j, pl) < r.FailedMS && !c.zoneWatch.open[host]
+}
+
+// openHosts tells on which machines of returning zones tasks start again in place: as large
+// a share of those that are up as the slow start has come to, less what the production work
+// that waits there needs. They open in the order of their names, so that another owner has
+// the same. Call with the lock held.
+func (c *Controller) openHosts(up map[string][]string, now time.Time) map[string]bool {
+	open := map[string]bool{}
+	types := c.typeSizes()
+	for zone, hosts := range up {
+		r := c.returning(zone, now)
+		if r == nil {
+			continue
+		}
+		needed := 0.0 // machines
+		for _, d := range c.zoneNeeds(zone, r) {
+			size := sched.Resources{CPUs: d.Need[0], GPUs: d.Need[1], MemGB: d.Need[2]}
+			needed += float64(d.Tasks) * recovery.ShareOf(size, types)
+		}
+		all := float64(max(r.Sum().Up, len(hosts)))
+		share := min(r.Window(now, c.zoneLimits()), max(all-needed, 0)/all, 1)
+		slices.Sort(hosts)
+		for _, host := range hosts[:int(share*float64(len(hosts)))] {
+			open[host] = true
+		}
+	}
+	return open
 }
 
 // returning gives the record of a zone that is down or recovering; nil if it is not, or the
--- a/internal/controller/zonewatch.go
+++ b/internal/controller/zonewatch.go
@@ -22,6 +22,7 @@
 type zoneWatch struct {
 	at     time.Time                              // when it last looked
 	sights map[string]map[string]zonehealth.Sight // by zone and own part
+	open   map[string]bool                        // machines of returning zones where tasks start again in place
 }
 
 // switchedOn tells whether a feature is on: here, and at every configured controller, living
@@ -65,7 +66,9 @@
 		c.mu.Unlock()
 		return false
 	}
-	c.zoneWatch = zoneWatch{now, c.zoneSights(now)}
+	sights, up := c.zoneSights(now)
+	c.zoneWatch = zoneWatch{at: now, sights: sights}
+	c.zoneWatch.open = c.openHosts(up, now)
 	t := newTxn()
 	changed := map[string]zonehealth.Record{}
 	for _, zone := range slices.Sorted(maps.Keys(c.zoneWatch.sights)) {
@@ -152,9 +155,10 @@
 	return false
 }
 
-// zoneSights looks at the machines of own parts, by zone. Call with the lock held.
-func (c *Controller) zoneSights(now time.Time) map[string]map[string]zonehealth.Sight {
-	out := map[string]map[string]zonehealth.Sight{}
+// zoneSights looks at the machines of own parts, by zone, and lists those that are up. Call
+// with the lock held.
+func (c *Controller) zoneSights(now time.Time) (out map[string]map[string]zonehealth.Sight, up map[string][]string) {
+	out, up = map[string]map[string]zonehealth.Sight{}, map[string][]string{}
 	for _, zone := range c.cfg.Facts.Zones {
 		out[zone] = map[string]zonehealth.Sight{}
 		for p := range c.mine {
@@ -176,6 +180,7 @@
 			sight.Unclear++
 		case machineUp:
 			sight.Up++
+			up[m.Zone] = append(up[m.Zone], host)
 		case machineLost:
 			sight.Lost++
 		}
@@ -194,7 +199,7 @@
 			out[zone][p] = sight
 		}
 	}
-	return out
+	return out, up
 }
 
 // machineSight is what an owner sees of a machine.
