Zone recovery: no slow start beside nobody; readers take places nobody runs on

Production that needs room takes first what arrays hold but have not started again, which loses nothing and waits for no save.

--- a/internal/controller/preemption.go
+++ b/internal/controller/preemption.go
@@ -128,7 +128,7 @@
 		case j == nil, only != nil && only != pl, j.leaves(pl.p), p.taken[pl]:
 		case !c.mayStop(q, &j.main.Spec, p.beyond[pl.uid]), c.over(h.Name, id, pl):
 		default:
-			v.candidates = append(v.candidates, sched.Victim{Task: id, Room: need(&j.main.Spec), Cost: lost(j, pl.p, p.now), Ref: len(v.tasks)})
+			v.candidates = append(v.candidates, sched.Victim{Task: id, Room: need(&j.main.Spec), Cost: c.lostBy(h.Name, j, pl, p.now), Ref: len(v.tasks)})
 			v.tasks = append(v.tasks, pl)
 		}
 	}
@@ -263,6 +263,21 @@
 	return tasks
 }
 
+// lostBy estimates the work that stopping a task on a machine loses, in seconds: none if it
+// went with its zone and has not started again. Call with the lock held.
+func (c *Controller) lostBy(host string, j *liveJob, pl *placedTask, now time.Time) float64 {
+	s := c.sessions[host]
+	if s == nil || s.Report == nil || !c.heldBack(host, pl, j, now) {
+		return lost(j, pl.p, now)
+	}
+	name := pl.name(j)
+	there := slices.ContainsFunc(s.Report.Tasks, func(t api.TaskState) bool { return t.Task == name && t.Attempt == pl.p.Attempt })
+	if there {
+		return lost(j, pl.p, now)
+	}
+	return 0
+}
+
 // lost estimates the work that stopping a task loses, in seconds.
 func lost(j *liveJob, p *job.Placement, now time.Time) float64 {
 	r := &j.main.Spec
--- a/internal/controller/zonecases_test.go
+++ b/internal/controller/zonecases_test.go
@@ -69,30 +69,6 @@
 	z.recovers(2*arrayTasks - readerTasks)
 }
 
-// Room for production tasks whose machines are lost, and which may still be running there,
-// is kept from all other work in the zone, also when the slow start is over.
-func TestReservationKeepsRoom(t *testing.T) {
-	placed := func(waiting int) int {
-		c := sized(256, 4) // with room for four tasks
-		c.features.ZoneRecovery.Enabled = true
-		for _, node := range c.parts {
-			c.replica.marks[node] = value[part.Mark]{v: &part.Mark{V: forms, Features: c.features.Names()}}
-		}
-		r := zonehealth.Record{State: zonehealth.Recovering, SinceMS: c.now().Add(-time.Second).UnixMilli(), Start: 1, Before: 256}
-		r = r.With("n1", zonehealth.Sight{Lost: waiting, Waiting: []zonehealth.Demand{{Need: [3]float64{5, 1, 40}, Tasks: waiting}}})
-		c.replica.zones["x"] = value[zonehealth.Record]{v: &r}
-		for _, j := range c.replica.jobs { // none is production
-			j.main.Spec.Priority = "standard"
-		}
-		return len(c.plan(c.now()).places)
-	}
-	for _, x := range []struct{ waiting, places int }{{0, 4}, {3, 1}, {4, 0}, {9, 0}} {
-		if got := placed(x.waiting); got != x.places {
-			t.Errorf("with %d tasks waiting %d are placed, not %d", x.waiting, got, x.places)
-		}
-	}
-}
-
 // Room is kept for a production task until its end is committed and it waits in the queue:
 // also in the seconds in which a new owner has heard of nothing yet, and in those between
 // its machine's return to the cloud and the commit. Arrays took it in both.
--- /dev/null
+++ b/internal/controller/zoneplan_test.go
@@ -0,0 +1,76 @@
+package controller
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"violetturn/internal/part"
+	"violetturn/internal/zonehealth"
+)
+
+// withZone switches zone recovery on everywhere and sets the record of zone x.
+func (c *Controller) withZone(r zonehealth.Record) {
+	c.features.ZoneRecovery.Enabled = true
+	for _, node := range c.parts {
+		c.replica.marks[node] = value[part.Mark]{v: &part.Mark{V: forms, Features: c.features.Names()}}
+	}
+	c.replica.zones["x"] = value[zonehealth.Record]{v: &r}
+}
+
+// Arrays start again in place on a share of the machines that grows, and never on what the
+// readers need; which machines follows from their names.
+func TestMachinesOpenStepByStep(t *testing.T) {
+	const machines = 64
+	for _, x := range []struct {
+		start   float64
+		waiting int // tasks, two of which fill a machine
+		state   zonehealth.State
+		open    int
+	}{
+		{1. / 16, 0, zonehealth.Recovering, 4},
+		{1. / 4, 0, zonehealth.Recovering, 16},
+		{1, 0, zonehealth.Recovering, 64},
+		{1, 32, zonehealth.Recovering, 48},
+		{1. / 4, 32, zonehealth.Recovering, 16},
+		{1, 200, zonehealth.Recovering, 0},
+		{1, 0, zonehealth.Down, 0},
+		{0, 0, zonehealth.Healthy, 0}, // nothing is held back there
+	} {
+		c := sized(machines, 0)
+		r := zonehealth.Record{State: x.state, SinceMS: c.now().UnixMilli(), FailedMS: 1, Start: x.start, Before: machines}
+		r = r.With("n0", zonehealth.Sight{Up: machines})
+		waiting := []zonehealth.Demand{{Need: [3]float64{5, 1, 40}, Tasks: x.waiting}}
+		c.withZone(r.With("n1", zonehealth.Sight{Lost: 1, Waiting: waiting}))
+		names := c.replica.hostNames()
+		open := c.openHosts(map[string][]string{"x": slices.Clone(names)}, c.now())
+		if len(open) != x.open {
+			t.Errorf("%+v: %d machines are open", x, len(open))
+		}
+		for _, name := range names[:x.open] {
+			if !open[name] {
+				t.Errorf("%+v: %s is not open", x, name)
+			}
+		}
+	}
+}
+
+// Room for production tasks whose machines are lost, and which may still be running there,
+// is kept from all other work in the zone, also when the slow start is over.
+func TestReservationKeepsRoom(t *testing.T) {
+	placed := func(waiting int) int {
+		c := sized(256, 4) // with room for four tasks
+		r := zonehealth.Record{State: zonehealth.Recovering, SinceMS: c.now().Add(-time.Second).UnixMilli(), Start: 1, Before: 256}
+		r = r.With("n1", zonehealth.Sight{Lost: waiting, Waiting: []zonehealth.Demand{{Need: [3]float64{5, 1, 40}, Tasks: waiting}}})
+		c.withZone(r)
+		for _, j := range c.replica.jobs { // none is production
+			j.main.Spec.Priority = "standard"
+		}
+		return len(c.plan(c.now()).places)
+	}
+	for _, x := range []struct{ waiting, places int }{{0, 4}, {3, 1}, {4, 0}, {9, 0}} {
+		if got := placed(x.waiting); got != x.places {
+			t.Errorf("with %d tasks waiting %d are placed, not %d", x.waiting, got, x.places)
+		}
+	}
+}
--- a/internal/zonehealth/zonehealth.go
+++ b/internal/zonehealth/zonehealth.go
@@ -86,6 +86,10 @@
 // lost by themselves.
 const fewMachines = 3
 
+// hurry is by how much sooner the share of a slow start doubles while nearly all machines are
+// back and no production work waits for the others.
+const hurry = 4
+
 // returnShare is the share of the machines there were before that have to be back for a
 // zone to be recovering.
 const returnShare = 1. / 16
@@ -208,8 +212,7 @@
 		j.next.fail(j.sum, j.now, j.limits) // again, in the middle of the recovery
 		return
 	}
-	served := j.sum.LostShare() < j.limits.SuspectShare && !j.next.Waiting()
-	if j.lasted >= j.limits.Longest || served && j.next.Window(j.now, j.limits) >= 1 {
+	if j.lasted >= j.limits.Longest || j.next.served(j.limits) && j.next.Window(j.now, j.limits) >= 1 {
 		j.next.become(Healthy, j.now)
 	}
 }
@@ -237,6 +240,13 @@
 	r.become(Down, now)
 }
 
+// served tells whether nearly all machines are back and no production work waits for others.
+func (r *Record) served(limits *Limits) bool {
+	sum := r.Sum()
+	away := float64(sum.Lost + sum.Unclear)
+	return !r.Waiting() && away <= limits.SuspectShare*float64(sum.Up+sum.Lost+sum.Unclear)
+}
+
 // Window is the share of the zone's machines that work below production may have taken
 // since the zone came back: none while it is down, then a share that doubles, 1 and more
 // without limit. It follows from the record and the time of day, so that all controllers
@@ -250,8 +260,12 @@
 		if share <= 0 {
 			share = limits.FirstShare
 		}
+		every := limits.DoubleEvery
+		if r.served(limits) {
+			every /= hurry // nothing to be ahead of: only fetches and starts are spaced
+		}
 		passed := max(now.Sub(time.UnixMilli(r.SinceMS)), 0)
-		for ; passed >= limits.DoubleEvery && share < 1; passed -= limits.DoubleEvery {
+		for ; passed >= every && share < 1; passed -= every {
 			share *= 2
 		}
 		return share
--- a/internal/zonehealth/zonehealth_test.go
+++ b/internal/zonehealth/zonehealth_test.go
@@ -175,6 +175,11 @@
 func TestWindow(t *testing.T) {
 	at := time.Unix(1_800_000_000, 0)
 	r := Record{State: Recovering, SinceMS: at.UnixMilli(), Start: 1. / 16}
+	back := r.With("n0", Sight{Up: 9, Lost: 1})
+	if got := back.Window(at.Add(4*time.Second), testLimits()); got != 1./2 {
+		t.Errorf("with all back and nothing waiting: %g after 4 s, not a half", got)
+	}
+	r = r.With("n0", Sight{Lost: 1, Waiting: []Demand{{Need: [3]float64{4, 1, 29}, Tasks: 1}}})
 	for _, x := range []struct {
 		after time.Duration
 		share float64
