--- a/internal/golden/golden_test.go
+++ b/internal/golden/golden_test.go
@@ -19,6 +19,7 @@
 	"violetturn/internal/part"
 	"violetturn/internal/peer"
 	"violetturn/internal/store"
+	"violetturn/internal/zonehealth"
 )
 
 func pointer[T any](v T) *T { return &v }
@@ -65,9 +66,18 @@
 		Bits:   "AQ",
 		Places: map[int]*job.Placement{1: {Attempt: 2, Host: "i-1", Stop: true, AtS: 9}},
 	},
-	"job.Gang":  &job.Gang{Try: 2, Go: true, Halt: true, Over: true, Done: true, AtS: 9, Errors: 1, Fails: 2},
-	"part.Own":  &part.Ownership{Node: "n0", Incarnation: 5, Term: 6, Mute: true, Hear: true, V: 2},
-	"part.Mark": &part.Mark{V: 2},
+	"job.Gang":                &job.Gang{Try: 2, Go: true, Halt: true, Over: true, Done: true, AtS: 9, Errors: 1, Fails: 2},
+	"part.Own":                &part.Ownership{Node: "n0", Incarnation: 5, Term: 6, Mute: true, Hear: true, V: 2},
+	"part.Mark":               &part.Mark{V: 2},
+	"part.Mark with features": &part.Mark{V: 2, Features: []string{"zone_recovery"}},
+	"part.Own with features":  &part.Ownership{Node: "n0", Incarnation: 5, V: 2, Features: []string{"zone_recovery"}},
+	"zonehealth.Record": &zonehealth.Record{
+		State: zonehealth.Recovering, Number: 7, SinceMS: 3, FailedMS: 2, Start: 0.25, Before: 9, Mark: 1,
+		Sights: map[string]zonehealth.Sight{"n0": {
+			Up: 1, Lost: 8, Unclear: 2, Refused: true,
+			Waiting: []zonehealth.Demand{{Need: [3]float64{4, 1, 29}, Spot: true, Tasks: 3}},
+		}},
+	},
 	"part.Record": &part.Record{
 		Term:     6,
 		By:       "n0",
