--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -53,10 +53,18 @@
 	for _, p := range []struct {
 		name string
 		v    float64
-	}{{"facts.workers.report_s", f.Workers.ReportS}, {"facts.workers.lease_s", f.Workers.LeaseS}, {"facts.workers.cancel_s", f.Workers.CancelS},
-		{"facts.state.rps", f.State.RPS}, {"facts.state.write_rps", f.State.WriteRPS}, {"facts.state.value_kb", f.State.ValueKB},
-		{"facts.state.txn_ops", float64(f.State.TxnOps)}, {"facts.cloud.rps", f.Cloud.RPS},
-		{"facts.machine_limits.memory_mb", f.Limits.MemoryMB}, {"facts.machine_limits.max_sockets", float64(f.Limits.MaxSockets)}} {
+	}{
+		{"facts.workers.report_s", f.Workers.ReportS},
+		{"facts.workers.lease_s", f.Workers.LeaseS},
+		{"facts.workers.cancel_s", f.Workers.CancelS},
+		{"facts.state.rps", f.State.RPS},
+		{"facts.state.write_rps", f.State.WriteRPS},
+		{"facts.state.value_kb", f.State.ValueKB},
+		{"facts.state.txn_ops", float64(f.State.TxnOps)},
+		{"facts.cloud.rps", f.Cloud.RPS},
+		{"facts.machine_limits.memory_mb", f.Limits.MemoryMB},
+		{"facts.machine_limits.max_sockets", float64(f.Limits.MaxSockets)},
+	} {
 		if !positive(p.v) {
 			return fmt.Errorf("%s: must be a number above 0", p.name)
 		}
@@ -84,7 +92,10 @@
 	}
 	// A sixteenth of the sockets takes the other controllers' connections.
 	if need := max(leastSockets, 16*len(s.Members)); l.MaxSockets < need {
-		return fmt.Errorf("facts.machine_limits.max_sockets: %d, the service needs at least %d with so many controllers", l.MaxSockets, need)
+		return fmt.Errorf(
+			"facts.machine_limits.max_sockets: %d, the service needs at least %d with so many controllers",
+			l.MaxSockets, need,
+		)
 	}
 	return nil
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -201,15 +201,44 @@
 
 // newController makes a controller without its outside systems.
 func newController(cfg *config.Settings, policy *config.Policy, log *slog.Logger) *Controller {
-	c := &Controller{cfg: cfg, policy: policy, features: features.Default(), log: log, now: time.Now, spawn: func(f func()) { go f() }, incarnation: rand.Uint64() >> 12, rnd: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		wake: make(chan struct{}, 1), newGang: make(chan struct{}, 1), orphans: make(chan struct{}, 1),
-		fencing: make(
-			chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/16),
-		), nudging: make(chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/32)), users: make(chan struct{}, 128),
-		mine: map[string]*ownPart{}, sessions: map[string]*part.Session{}, absent: map[string]time.Time{}, homeUp: map[string]time.Time{},
-		sharers: cfg.Facts.Size, away: map[string]time.Time{}, refused: map[string]refusal{}, past: map[string]job.Past{}, adopt: map[string]part.Machine{},
-		confirmedUntil: map[string]time.Time{}, retryAt: map[string]time.Time{}, errSeen: map[string]int{}, toNudge: map[string]bool{}, narrow: map[string]int{}, short: map[string]bool{}, gangs: map[string]*gangState{}, missed: map[string]bool{}, commits: map[string]commits{}, arrivals: map[string][]arrival{}, bias: map[string]float64{},
-		reach: reach{store: true, peers: map[string]bool{}}, renting: renting{inDoubt: map[sched.Offer]cloud.Rental{}, seen: map[string]time.Time{}}}
+	c := &Controller{
+		cfg:            cfg,
+		policy:         policy,
+		features:       features.Default(),
+		log:            log,
+		now:            time.Now,
+		spawn:          func(f func()) { go f() },
+		incarnation:    rand.Uint64() >> 12,
+		rnd:            rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		wake:           make(chan struct{}, 1),
+		newGang:        make(chan struct{}, 1),
+		orphans:        make(chan struct{}, 1),
+		fencing:        make(chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/16)),
+		nudging:        make(chan struct{}, max(8, cfg.Facts.Limits.MaxSockets/32)),
+		users:          make(chan struct{}, 128),
+		mine:           map[string]*ownPart{},
+		sessions:       map[string]*part.Session{},
+		absent:         map[string]time.Time{},
+		homeUp:         map[string]time.Time{},
+		sharers:        cfg.Facts.Size,
+		away:           map[string]time.Time{},
+		refused:        map[string]refusal{},
+		past:           map[string]job.Past{},
+		adopt:          map[string]part.Machine{},
+		confirmedUntil: map[string]time.Time{},
+		retryAt:        map[string]time.Time{},
+		errSeen:        map[string]int{},
+		toNudge:        map[string]bool{},
+		narrow:         map[string]int{},
+		short:          map[string]bool{},
+		gangs:          map[string]*gangState{},
+		missed:         map[string]bool{},
+		commits:        map[string]commits{},
+		arrivals:       map[string][]arrival{},
+		bias:           map[string]float64{},
+		reach:          reach{store: true, peers: map[string]bool{}},
+		renting:        renting{inDoubt: map[sched.Offer]cloud.Rental{}, seen: map[string]time.Time{}},
+	}
 	c.replica = newReplica(log, c.arrived, func(host string) { c.toNudge[host] = true })
 	c.replica.onEnd = c.remember
 	c.parts = append(c.parts, cfg.HostName)
@@ -285,8 +314,11 @@
 		var mem runtime.MemStats
 		runtime.ReadMemStats(&mem)
 		c.mu.Lock()
-		c.log.Info("summary", "store_rps", math.Round((r-reqs)/every.Seconds()*10)/10, "write_rps", math.Round((w-writes)/every.Seconds()*10)/10,
-			"jobs", len(c.replica.jobs), "hosts", len(c.replica.hosts), "parts", len(c.mine), "heap_kb", mem.HeapAlloc>>10)
+		c.log.Info(
+			"summary", "store_rps", math.Round((r-reqs)/every.Seconds()*10)/10,
+			"write_rps", math.Round((w-writes)/every.Seconds()*10)/10,
+			"jobs", len(c.replica.jobs), "hosts", len(c.replica.hosts), "parts", len(c.mine), "heap_kb", mem.HeapAlloc>>10,
+		)
 		for _, what := range slices.Sorted(maps.Keys(c.commits)) {
 			n := c.commits[what]
 			c.log.Info(
--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -46,7 +46,10 @@
 	if !c.acting() || c.store.Ready(ctx, min(c.cfg.Lowest().TxnOps, c.secondsWrites()), store.Decision) < 2 || c.newest(ctx) != nil {
 		return
 	}
-	steps := []func(context.Context) bool{c.zoneRound, c.recordStrangers, c.gangRound, c.releaseRound, c.retireRound, c.placeRound, c.upkeepRound, c.forgetRound, c.divideRound}
+	steps := []func(context.Context) bool{
+		c.zoneRound, c.recordStrangers, c.gangRound, c.releaseRound, c.retireRound, c.placeRound, c.upkeepRound,
+		c.forgetRound, c.divideRound,
+	}
 	for _, step := range steps {
 		for range 16 { // each step commits one transaction at a time
 			if !c.acting() || ctx.Err() != nil {
--- a/internal/controller/headroom.go
+++ b/internal/controller/headroom.go
@@ -172,7 +172,8 @@
 			if j == nil || j.main.Spec.Class != lane {
 				continue
 			}
-			if placed := time.UnixMilli(j.main.AtMS).Add(time.Duration(pl.p.AtS) * time.Second); now.Sub(placed).Seconds()+boot.Seconds() > c.runs(&j.main.Spec) {
+			ran := now.Sub(time.UnixMilli(placedMS(j, pl)))
+			if (ran + boot).Seconds() > c.runs(&j.main.Spec) {
 				grow--
 			}
 		}
--- a/internal/controller/preemption.go
+++ b/internal/controller/preemption.go
@@ -128,7 +128,8 @@
 		case j == nil, only != nil && only != pl, j.leaves(pl.p), p.taken[pl]:
 		case !c.mayStop(q, &j.main.Spec, p.beyond[pl.uid]), c.over(h.Name, id, pl):
 		default:
-			v.candidates = append(v.candidates, sched.Victim{Task: id, Room: need(&j.main.Spec), Cost: c.lostBy(h.Name, j, pl, p.now), Ref: len(v.tasks)})
+			cost := c.lostBy(h.Name, j, pl, p.now)
+			v.candidates = append(v.candidates, sched.Victim{Task: id, Room: need(&j.main.Spec), Cost: cost, Ref: len(v.tasks)})
 			v.tasks = append(v.tasks, pl)
 		}
 	}
--- a/internal/controller/queue.go
+++ b/internal/controller/queue.go
@@ -26,8 +26,18 @@
 // describe tells expressions of a job. Call with the lock held.
 func (c *Controller) describe(j *liveJob, rank int, guarantee bool, now time.Time) config.Work {
 	r := &j.main.Spec
-	w := config.Work{Class: r.Class, Team: r.Team, Kind: r.Kind, Priority: rank, Guaranteed: guarantee, Tasks: r.Tasks, GPUs: r.GPUs, CPUs: r.CPUs,
-		Age: float64(now.UnixMilli()-j.main.AtMS) / 1000, Slack: never}
+	w := config.Work{
+		Class:      r.Class,
+		Team:       r.Team,
+		Kind:       r.Kind,
+		Priority:   rank,
+		Guaranteed: guarantee,
+		Tasks:      r.Tasks,
+		GPUs:       r.GPUs,
+		CPUs:       r.CPUs,
+		Age:        float64(now.UnixMilli()-j.main.AtMS) / 1000,
+		Slack:      never,
+	}
 	if in := c.within(r); in < never {
 		w.Slack = in - w.Age - c.runs(r)
 	}
@@ -70,7 +80,7 @@
 			cpus += r.CPUs * left
 			gpus += r.GPUs * left
 			rank, _ := api.PriorityOf(r.Priority)
-			within := (team.CPUs > 0 || team.GPUs > 0) && (team.CPUs == 0 || cpus <= team.CPUs+1e-6) && (team.GPUs == 0 || gpus <= team.GPUs+1e-6)
+			within := withinGuarantee(team, cpus, gpus)
 			w := c.describe(j, rank, within, now)
 			q = append(
 				q,
@@ -92,6 +102,15 @@
 	return q
 }
 
+// withinGuarantee tells whether a team's jobs fit its guarantee together.
+func withinGuarantee(team config.Team, cpus, gpus float64) bool {
+	const eps = 1e-6 // sums of decimal fractions are not exact
+	if team.CPUs == 0 && team.GPUs == 0 {
+		return false
+	}
+	return (team.CPUs == 0 || cpus <= team.CPUs+eps) && (team.GPUs == 0 || gpus <= team.GPUs+eps)
+}
+
 // mustBegin is within what time even the largest job has to begin (PROTOCOL).
 const mustBegin = 4 * time.Minute
 
--- a/internal/controller/replica.go
+++ b/internal/controller/replica.go
@@ -48,14 +48,15 @@
 // cache: every decision that rests on it is committed under guards on the
 // versions it rests on.
 type replica struct {
-	log               *slog.Logger
-	loading           bool              // a full list is being taken in
-	epoch             uint64            // all changes up to here are in
-	stamps            map[string]uint64 // of present keys
-	dropped           map[string]uint64 // of keys dropped at revisions that the watch has yet to reach
-	jobs              map[string]*liveJob
-	gangs             map[string]bool                          // those of them whose tasks start together
-	recs              map[string]map[chunkRec]value[job.Chunk] // chunks' records as they are, those of other divisions and of no job included
+	log     *slog.Logger
+	loading bool              // a full list is being taken in
+	epoch   uint64            // all changes up to here are in
+	stamps  map[string]uint64 // of present keys
+	dropped map[string]uint64 // of keys dropped at revisions that the watch has yet to reach
+	jobs    map[string]*liveJob
+	gangs   map[string]bool // those of them whose tasks start together
+	// chunks' records as they are, those of other divisions and of no job included
+	recs              map[string]map[chunkRec]value[job.Chunk]
 	parts             map[string]value[part.Record]
 	owns              map[string]value[part.Ownership]
 	nodes             map[string]value[part.Ownership]
@@ -86,10 +87,28 @@
 }
 
 func newReplica(log *slog.Logger, onJob func(*job.Main), onTask func(string)) *replica {
-	return &replica{log: log, onJob: onJob, onTask: onTask, stamps: map[string]uint64{}, dropped: map[string]uint64{}, jobs: map[string]*liveJob{}, gangs: map[string]bool{},
-		recs: map[string]map[chunkRec]value[job.Chunk]{}, marks: map[string]value[part.Mark]{}, zones: map[string]value[zonehealth.Record]{}, parts: map[string]value[part.Record]{}, owns: map[string]value[part.Ownership]{},
-		nodes: map[string]value[part.Ownership]{}, pages: map[string]value[part.Page]{}, hosts: map[string]*part.Machine{}, teams: map[string]value[part.Usage]{},
-		onHost: map[string]map[string]*placedTask{}, loads: map[string]*load{}, images: map[string]map[string]bool{}, gone: map[string]bool{}}
+	return &replica{
+		log:     log,
+		onJob:   onJob,
+		onTask:  onTask,
+		stamps:  map[string]uint64{},
+		dropped: map[string]uint64{},
+		jobs:    map[string]*liveJob{},
+		gangs:   map[string]bool{},
+		recs:    map[string]map[chunkRec]value[job.Chunk]{},
+		marks:   map[string]value[part.Mark]{},
+		zones:   map[string]value[zonehealth.Record]{},
+		parts:   map[string]value[part.Record]{},
+		owns:    map[string]value[part.Ownership]{},
+		nodes:   map[string]value[part.Ownership]{},
+		pages:   map[string]value[part.Page]{},
+		hosts:   map[string]*part.Machine{},
+		teams:   map[string]value[part.Usage]{},
+		onHost:  map[string]map[string]*placedTask{},
+		loads:   map[string]*load{},
+		images:  map[string]map[string]bool{},
+		gone:    map[string]bool{},
+	}
 }
 
 // apply takes in one change; raw is nil for a drop. Changes reach the replica
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -262,7 +262,7 @@
 
 // Changes waits up to block for changes after a revision.
 func (c *Client) Changes(ctx context.Context, prefix string, since uint64, block time.Duration) ([]Change, uint64, error) {
-	q := "/changes?prefix=" + url.QueryEscape(prefix) + "&since=" + strconv.FormatUint(since, 10) + "&blockMs=" + strconv.FormatInt(block.Milliseconds(), 10)
+	q := fmt.Sprintf("/changes?prefix=%s&since=%d&blockMs=%d", url.QueryEscape(prefix), since, block.Milliseconds())
 	m, err := c.do(ctx, "GET", q, nil, 0, Decision, block)
 	if errors.Is(err, httpwire.ErrTooLarge) {
 		// After a minute without the service a large fleet's changes can be more than a
