--- a/internal/zonehealth/zonehealth.go
+++ b/internal/zonehealth/zonehealth.go
@@ -149,12 +149,12 @@
 	next := *r
 	sum := r.Sum()
 	lasted := now.Sub(time.UnixMilli(r.SinceMS))
-	if sum.Unclear > 0 && 2*sum.Unclear >= sum.Up+sum.Lost+sum.Unclear && lasted < limits.Longest {
+	j := judgement{next: &next, sum: sum, lasted: lasted, now: now, witness: witness, limits: limits}
+	if sum.Unclear > 0 && 2*sum.Unclear >= sum.Up+sum.Lost+sum.Unclear && lasted < limits.Longest && !j.returned() {
 		// A part has just changed hands: what its new owner has not heard of yet is
-		// neither lost nor back.
+		// neither lost nor back. What it has heard of is.
 		return next
 	}
-	j := judgement{next: &next, sum: sum, lasted: lasted, now: now, witness: witness, limits: limits}
 	switch r.State {
 	default:
 		if sum.Up+sum.Lost >= fewMachines && sum.LostShare() >= limits.SuspectShare {
@@ -195,10 +195,15 @@
 	}
 }
 
+// returned tells whether machines of a zone that is down are back.
+func (j *judgement) returned() bool {
+	back := j.sum.Up - min(j.next.Mark, j.sum.Up)
+	return j.next.State == Down && back >= max(1, int(returnShare*float64(j.next.Before)))
+}
+
 func (j *judgement) down() {
 	j.next.Mark = min(j.next.Mark, j.sum.Up)
-	returned := j.sum.Up-j.next.Mark >= max(1, int(returnShare*float64(j.next.Before)))
-	if returned || j.sum.Lost == 0 || j.lasted >= j.limits.Longest {
+	if j.returned() || j.sum.Lost == 0 || j.lasted >= j.limits.Longest {
 		j.next.become(Recovering, j.now)
 		j.next.Number++
 		j.next.Mark = j.sum.Up
