--- a/cmd/violetturn/zoneloopback_test.go
+++ b/cmd/violetturn/zoneloopback_test.go
@@ -290,8 +290,10 @@
 func TestZoneReturnsOnLoopback(t *testing.T) {
 	z := newZoneCluster(t)
 	arrays := z.fill()
+	z.server.With(func(w *standin.World) { w.Cloud.Full = true })
 	z.partReturns()
 	z.flaps()
+	z.server.With(func(w *standin.World) { w.Cloud.Full = false })
 	for _, uid := range arrays {
 		z.wait(uid+" is done", func() bool {
 			status, body := z.send(z.random(processNodes), "GET", "/v2/runs/"+uid, nil)
@@ -327,7 +329,6 @@
 
 // partReturns has the zone and its controller go, and five machines without readers return.
 func (z *zoneCluster) partReturns() {
-	z.server.With(func(w *standin.World) { w.Cloud.Full = true })
 	withReaders, others := z.machines()
 	z.kill(0)
 	z.cut(withReaders, true)
@@ -341,7 +342,6 @@
 	z.start(0)
 	z.wait("readers run again", func() bool { return z.readersUp() == loopbackReaders })
 	z.checkReadersFirst("part returned", returned, returning)
-	z.server.With(func(w *standin.World) { w.Cloud.Full = false })
 }
 
 // waitEmpty waits until nothing runs on machines any more.
@@ -354,7 +354,8 @@
 	})
 }
 
-// flaps has the zone go, return for a moment, and go again until nothing runs there.
+// flaps has the zone go, return for a moment, and go again until nothing runs there. The
+// cloud has no other machines to give meanwhile, or the zone would not go as a whole.
 func (z *zoneCluster) flaps() {
 	withReaders, others := z.machines()
 	z.cut(withReaders, true)
