--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -29,6 +29,7 @@
 var cases = map[string]func(w *world) (held bool, err error){
 	"yearend": runYearend,
 	"stow":    runStow,
+	"calloff": runCallOff,
 }
 
 func main() {
--- a/review/harness/node.go
+++ b/review/harness/node.go
@@ -20,7 +20,6 @@
 	name    string
 	serveOn string
 	cluster string // its address for the other controllers
-	state   string // the state service as it sees it
 	process *exec.Cmd
 	exited  chan struct{}
 	killed  atomic.Bool // the harness ends the process
@@ -37,9 +36,7 @@
 		}
 		*addr = free
 	}
-	var err error
-	n.state, err = serve(w.state.handler(index))
-	return n, err
+	return n, nil
 }
 
 // settingsPath returns the path of the controller's settings file.
@@ -54,10 +51,10 @@
 			fmt.Fprintf(&s, "[[members]]\nhost_name = %q\nsite = %q\naddr = %q\n", m.name, nodeZones[m.index], m.cluster)
 		}
 	}
-	fmt.Fprintf(&s, "[external]\ncloud = %q\nstate = %q\n", n.world.cloudAt, n.state)
+	fmt.Fprintf(&s, "[external]\ncloud = %q\nstate = %q\n", n.world.cloudAt, n.world.stateAt)
 	fmt.Fprintf(&s, "[facts]\nsize = %d\nzones = [%q, %q]\ntime_bound_ms = 100.0\n", nodeCount, zones[0], zones[1])
 	for _, team := range []string{"claims-core", "risk-desk", "payouts", "wadi-audit"} {
-		fmt.Fprintf(&s, "[[facts.teams]]\nname = %q\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = %g\n", team, gpusMax)
+		fmt.Fprintf(&s, "[[facts.teams]]\nname = %q\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n", team)
 	}
 	s.WriteString("[[facts.objectives]]\nkind = \"wait\"\nclass = \"receipt-reader\"\nwithin_s = 10.0\nshare = 0.8\n")
 	s.WriteString("[[facts.objectives]]\nkind = \"finished\"\nclass = \"fraud-rescore\"\nwithin_s = 180.0\nshare = 0.88\n")
@@ -104,7 +101,7 @@
 	n.killed.Store(false)
 	go func(p *exec.Cmd, exited chan struct{}) {
 		_ = p.Wait()
-		n.world.record.note(n.name, "process ended: %v, %v of processor time", p.ProcessState, p.ProcessState.UserTime())
+		n.world.record.note(n.name, "process ended: %v", p.ProcessState)
 		if !n.killed.Load() {
 			n.world.broken("%s ended by itself: %v", n.name, p.ProcessState)
 		}
--- a/review/harness/state.go
+++ b/review/harness/state.go
@@ -18,31 +18,19 @@
 
 // stateService is the stand-in for the state service.
 type stateService struct {
-	mu        sync.Mutex
-	epoch     uint64
-	keys      map[string]entry
-	log       []change
-	holds     map[uint64]*hold
-	lastHold  uint64
-	changed   chan struct{} // closed and replaced with every change
-	requests  bucket
-	writes    bucket
-	txnOps    int
-	valueKB   float64
-	refused   map[int]bool // nodes that get 503
-	onMulti   func(node int, t *transaction) multiFault
-	maxValueB int // largest value written so far
+	mu       sync.Mutex
+	epoch    uint64
+	keys     map[string]entry
+	log      []change
+	holds    map[uint64]*hold
+	lastHold uint64
+	changed  chan struct{} // closed and replaced with every change
+	requests bucket
+	writes   bucket
+	txnOps   int
+	valueKB  float64
 }
 
-// multiFault is what happens to a transaction.
-type multiFault int
-
-// Faults of a transaction.
-const (
-	noFault    multiFault = iota
-	loseAnswer            // it is carried out, and its answer is lost
-)
-
 // hold is a lease.
 type hold struct {
 	ttl time.Duration
@@ -76,7 +64,7 @@
 	return &stateService{
 		keys: map[string]entry{}, holds: map[uint64]*hold{}, changed: make(chan struct{}),
 		requests: bucket{rate: stateRPS}, writes: bucket{rate: stateWriteRPS},
-		txnOps: stateTxnOps, valueKB: stateValueKB, refused: map[int]bool{},
+		txnOps: stateTxnOps, valueKB: stateValueKB,
 	}
 }
 
@@ -125,7 +113,6 @@
 			e.permit = *c.Permit
 		}
 		s.keys[c.Write] = e
-		s.maxValueB = max(s.maxValueB, len(c.Value))
 		s.log = append(s.log, change{Write: c.Write, Value: c.Value, Stamp: s.epoch})
 	}
 	if len(s.log) > historyLength {
--- a/review/harness/state_http.go
+++ b/review/harness/state_http.go
@@ -23,29 +23,26 @@
 // fields is a JSON object.
 type fields map[string]any
 
-// handler returns the state service as one node sees it.
-func (s *stateService) handler(node int) http.Handler {
+// handler returns the interface of the state service.
+func (s *stateService) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /keys/{key...}", s.getKey)
 	mux.HandleFunc("GET /keys", s.getKeys)
-	mux.HandleFunc("GET /changes", func(w http.ResponseWriter, r *http.Request) { s.getChanges(w, r, node) })
-	mux.HandleFunc("POST /multi", func(w http.ResponseWriter, r *http.Request) { s.postMulti(w, r, node) })
+	mux.HandleFunc("GET /changes", s.getChanges)
+	mux.HandleFunc("POST /multi", s.postMulti)
 	mux.HandleFunc("POST /holds", s.postHold)
 	mux.HandleFunc("POST /holds/{id}/touch", s.touchHold)
 	mux.HandleFunc("DELETE /holds/{id}", s.deleteHold)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(stateLatency)
 		s.mu.Lock()
-		refused, limited := s.refused[node], !s.requests.take(1)
+		served := s.requests.take(1)
 		s.mu.Unlock()
-		switch {
-		case refused:
-			answer(w, http.StatusServiceUnavailable, fields{"error": "outage"})
-		case limited:
+		if !served {
 			answer(w, http.StatusTooManyRequests, fields{"error": "too many requests"})
-		default:
-			mux.ServeHTTP(w, r)
+			return
 		}
+		mux.ServeHTTP(w, r)
 	})
 }
 
@@ -78,18 +75,17 @@
 	answer(w, http.StatusOK, fields{"rows": rows, "truncated": truncated, "epoch": epoch})
 }
 
-// getChanges answers a watch. A watch that is open when its node is refused waits until that is over.
-func (s *stateService) getChanges(w http.ResponseWriter, r *http.Request, node int) {
+// getChanges answers a watch once there are changes, or when its time has run out.
+func (s *stateService) getChanges(w http.ResponseWriter, r *http.Request) {
 	epoch, _ := strconv.ParseUint(r.FormValue("since"), 10, 64)
 	block, _ := strconv.Atoi(r.FormValue("blockMs"))
 	deadline := time.Now().Add(time.Duration(block) * time.Millisecond)
 	for {
 		s.mu.Lock()
 		changes, ok := s.since(r.FormValue("prefix"), epoch)
-		now, changed, refused := s.epoch, s.changed, s.refused[node]
+		now, changed := s.epoch, s.changed
 		s.mu.Unlock()
 		switch {
-		case refused:
 		case !ok:
 			answer(w, http.StatusGone, fields{"error": "too old"})
 			return
@@ -97,20 +93,16 @@
 			answer(w, http.StatusOK, fields{"epoch": now, "log": changes})
 			return
 		}
-		wait := time.Until(deadline)
-		if refused {
-			wait = 50 * time.Millisecond
-		}
 		select {
 		case <-changed:
-		case <-time.After(wait):
+		case <-time.After(time.Until(deadline)):
 		case <-r.Context().Done():
 			return
 		}
 	}
 }
 
-func (s *stateService) postMulti(w http.ResponseWriter, r *http.Request, node int) {
+func (s *stateService) postMulti(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	var t transaction
 	if err != nil || json.Unmarshal(body, &t) != nil {
@@ -123,19 +115,13 @@
 		answer(w, http.StatusTooManyRequests, fields{"error": "too many changes"})
 		return
 	}
-	fault := noFault
-	if s.onMulti != nil {
-		fault = s.onMulti(node, &t)
-	}
 	status, failed, text := s.multi(&t, len(body))
 	epoch := s.epoch
 	s.mu.Unlock()
-	switch {
-	case fault == loseAnswer:
-		<-r.Context().Done()
-	case status == http.StatusOK:
+	switch status {
+	case http.StatusOK:
 		answer(w, status, fields{"epoch": epoch})
-	case status == http.StatusConflict:
+	case http.StatusConflict:
 		answer(w, status, fields{"failed": failed, "epoch": epoch})
 	default:
 		answer(w, status, fields{"error": text})
--- a/review/harness/users.go
+++ b/review/harness/users.go
@@ -16,29 +16,7 @@
 
 	mu        sync.Mutex
 	done      map[int]bool
-	cancelled time.Time            // when its user was told that it is cancelled; zero: never
-	begun     map[uint64]time.Time // when the attempts of a gang began to run
-}
-
-// isGang reports whether the job's tasks start together.
-func (j *job) isGang() bool { return j.Shape == "ensemble" }
-
-// gangBegun returns when an attempt of a gang began to run; zero: not yet.
-func (j *job) gangBegun(try uint64) time.Time {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.begun[try]
-}
-
-// beginGang records that all tasks of an attempt have gathered, and returns true at the first call.
-func (j *job) beginGang(try uint64) bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if !j.begun[try].IsZero() {
-		return false
-	}
-	j.begun[try] = time.Now()
-	return true
+	cancelled time.Time // when its user was told that it is cancelled; zero: never
 }
 
 // isDone reports whether a task has completed.
@@ -102,7 +80,7 @@
 
 // submit submits a job, and retries as a user does, until it is accepted.
 func (w *world) submit(spec jobSpec, runTime time.Duration) (*job, error) {
-	j := &job{jobSpec: spec, runTime: runTime, done: map[int]bool{}, begun: map[uint64]time.Time{}}
+	j := &job{jobSpec: spec, runTime: runTime, done: map[int]bool{}}
 	w.mu.Lock()
 	w.jobs[spec.UID] = j
 	w.mu.Unlock()
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -29,7 +29,6 @@
 	renewedAt time.Time            // when the last answered report of the session was sent
 	changedAt time.Time            // when something changed that is worth a report
 	recallAt  time.Time            // when the cloud takes the machine; zero: no notice
-	cut       bool                 // nothing comes in or goes out
 	lapses    int                  // number of sessions that ended because the lease ran out
 	unsent    int                  // reports that were not sent because they would be too large
 	refusals  map[int]int          // reports by status of the response; 0: no response
@@ -133,18 +132,12 @@
 			return false
 		}
 		t.phase, t.begunAt, v.changedAt = "running", now, now
-		if t.job.isGang() {
-			t.phase = "gathering"
-		} else if t.job.isDone(t.index) {
+		if t.job.isDone(t.index) {
 			v.exit(t, "done")
 		}
 		return true
-	case "gathering":
-		if begun := t.job.gangBegun(t.try); !begun.IsZero() {
-			t.phase, t.begunAt, v.changedAt = "running", begun, now
-		}
 	case "running":
-		if t.job.Shape != "daemon" && now.Sub(t.begunAt) >= t.job.runTime {
+		if t.job.Shape == "sweep" && now.Sub(t.begunAt) >= t.job.runTime {
 			v.exit(t, "done")
 			t.job.setDone(t.index)
 		}
--- a/review/harness/worker_http.go
+++ b/review/harness/worker_http.go
@@ -42,11 +42,11 @@
 		case <-time.After(20 * time.Millisecond):
 		}
 		v.mu.Lock()
-		changed, cut := v.changedAt.After(sentAt), v.cut
+		changed := v.changedAt.After(sentAt)
 		v.mu.Unlock()
 		now := time.Now()
 		due := !now.Before(next) || changed && now.Sub(sentAt) >= time.Second/2
-		if cut || !due {
+		if !due {
 			continue
 		}
 		sentAt = now
@@ -84,6 +84,9 @@
 		status = 0
 	}
 	v.world.checkLine(v, text)
+	if len(text) > maxBody { // the worker takes it for no response
+		status, o = 0, orders{}
+	}
 	v.noteReport(r, node, status, len(body), &o)
 	if status == http.StatusOK {
 		if r.Tenure == v.tenure && o.Baton >= v.baton && o.Baton > 0 {
@@ -112,10 +115,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	text, err = io.ReadAll(resp.Body)
-	v.mu.Lock()
-	cut := v.cut
-	v.mu.Unlock()
-	if err != nil || cut {
+	if err != nil {
 		return 0, nil
 	}
 	return resp.StatusCode, text
@@ -142,14 +142,10 @@
 func (v *worker) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /commands", v.commands)
-	mux.HandleFunc("GET /show", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET /show", func(w http.ResponseWriter, _ *http.Request) {
 		v.mu.Lock()
-		cut, body := v.cut, v.report()
+		body := v.report()
 		v.mu.Unlock()
-		if cut {
-			<-r.Context().Done()
-			return
-		}
 		answer(w, http.StatusOK, body)
 	})
 	return mux
@@ -157,17 +153,17 @@
 
 func (v *worker) commands(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
+	if len(body) > maxBody {
+		v.world.broken("a request to the worker of %s has %d bytes", v.UID, len(body))
+		answer(w, http.StatusRequestEntityTooLarge, fields{"error": "too large"})
+		return
+	}
 	var o orders
 	if err != nil || json.Unmarshal(body, &o) != nil || o.Baton == 0 || o.Tenure == 0 {
 		answer(w, http.StatusBadRequest, fields{"error": "malformed"})
 		return
 	}
 	v.mu.Lock()
-	if v.cut {
-		v.mu.Unlock()
-		<-r.Context().Done()
-		return
-	}
 	status := http.StatusConflict
 	if o.Baton >= v.baton && o.Tenure == v.tenure {
 		if o.Baton > v.baton {
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -28,7 +28,6 @@
 	stateLatency   = 2 * time.Millisecond
 	cloudRPS       = 8
 	restartDelay   = 8 * time.Second
-	gpusMax        = 32.0 // limit of each team, as in the other deployment of the brief
 )
 
 // zones are the zones, and nodeZones those of the nodes.
@@ -55,6 +54,7 @@
 	cloud   *cloudService
 	nodes   []*node
 	cloudAt string
+	stateAt string
 	rooms   map[string]int // machines that the cloud has, by zone
 	next    atomic.Int64
 
@@ -75,6 +75,9 @@
 	if w.cloudAt, err = serve(w.cloud.handler()); err != nil {
 		return nil, err
 	}
+	if w.stateAt, err = serve(w.state.handler()); err != nil {
+		return nil, err
+	}
 	for i := range nodeCount {
 		n, err := newNode(w, i)
 		if err != nil {
@@ -85,7 +88,6 @@
 	go func() {
 		for range time.Tick(20 * time.Millisecond) {
 			w.state.tick()
-			w.gather()
 		}
 	}()
 	for _, n := range w.nodes {
@@ -181,8 +183,11 @@
 	return slices.Clone(w.violations)
 }
 
-// checkLine records the longest line in a response to a worker.
+// checkLine checks the length of the line in a response to a worker, and records the longest.
 func (w *world) checkLine(v *worker, text []byte) {
+	if len(text) > maxBody {
+		w.broken("a line in a response to %s has %d bytes", v.UID, len(text))
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(text) > w.longest {
@@ -220,26 +225,3 @@
 	}
 	return errors.New("in vain: " + what)
 }
-
-// gather starts the gangs whose tasks have all gathered. A gang runs from then on.
-func (w *world) gather() {
-	type attempt struct {
-		job *job
-		try uint64
-	}
-	ready := map[attempt]int{}
-	for _, v := range w.cloud.workers() {
-		v.mu.Lock()
-		for _, t := range v.tasks {
-			if t.phase == "gathering" {
-				ready[attempt{t.job, t.try}]++
-			}
-		}
-		v.mu.Unlock()
-	}
-	for a, n := range ready {
-		if n == a.job.Pieces && a.job.beginGang(a.try) {
-			w.record.note("gang", "%s try %d runs", a.job.UID, a.try)
-		}
-	}
-}
