--- a/internal/api/fuzz_test.go
+++ b/internal/api/fuzz_test.go
@@ -6,6 +6,8 @@
 	"reflect"
 	"strings"
 	"testing"
+
+	"violetturn/internal/numeric"
 )
 
 // For any body, ParseJob returns either a bad request or a job that is within all bounds and does
@@ -16,6 +18,11 @@
 	f.Add([]byte(`{"uid":"run-1","UID":"run-2","shape":null}`))
 	f.Add([]byte(`[{"uid":"run-1"}]`))
 	f.Add([]byte(`null`))
+	for name := range validFields() {
+		huge := validFields()
+		huge[name] = json.RawMessage("1.7e308")
+		f.Add(MustMarshal(huge))
+	}
 	f.Fuzz(func(t *testing.T, body []byte) {
 		j, err := ParseJob(body)
 		if err != nil {
@@ -54,8 +61,8 @@
 		amounts = append(amounts, *j.DeadlineS)
 	}
 	for _, amount := range amounts {
-		if !(amount >= 0) || math.IsInf(amount, 0) {
-			t.Fatalf("got amount %g, want a finite number of at least 0: %+v", amount, j)
+		if !(amount >= 0 && amount <= numeric.MaxAmount) {
+			t.Fatalf("got amount %g, want 0 to %g: %+v", amount, numeric.MaxAmount, j)
 		}
 	}
 }
@@ -68,6 +75,7 @@
 	f.Add([]byte(`{"host":"i/1","tenure":1}`))
 	f.Add([]byte(`{"HOST":"i-1","tenure":18446744073709551615,"pieces":[null]}`))
 	f.Add([]byte(`{"host":"i-1","tenure":1e3}`))
+	f.Add([]byte(`{"host":"i-1","tenure":1,"recallS":-1.7e308}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
 		h, err := ParseHeartbeat(body)
 		if err != nil {
@@ -79,6 +87,9 @@
 		if h.Host == "" || h.AgentEpoch == 0 || len(h.Host) > maxHostLength || strings.ContainsAny(h.Host, forbiddenHostCharacters) {
 			t.Fatalf("accepted host %q with agent epoch %d, one of which is invalid", h.Host, h.AgentEpoch)
 		}
+		if notice := h.SpotNoticeS; notice != nil && !(math.Abs(*notice) <= numeric.MaxAmount) {
+			t.Fatalf("got a spot notice of %g s, want at most %g", *notice, numeric.MaxAmount)
+		}
 		decoded, err := ParseHeartbeat(MustMarshal(h))
 		if err != nil || !reflect.DeepEqual(h, decoded) {
 			t.Fatalf("heartbeat parsed from its encoding is %+v, error %v, want %+v", decoded, err, h)
--- a/internal/api/heartbeat.go
+++ b/internal/api/heartbeat.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"strings"
+
+	"violetturn/internal/numeric"
 )
 
 // TaskState is the state of one task in a heartbeat.
@@ -49,5 +51,8 @@
 	if h.AgentEpoch == 0 || h.Host == "" || len(h.Host) > maxHostLength || strings.ContainsAny(h.Host, forbiddenHostCharacters) {
 		return nil, NewRequestError(StatusBadRequest, "host or tenure missing")
 	}
+	if h.SpotNoticeS != nil {
+		numeric.Amounts(h.SpotNoticeS)
+	}
 	return &h, nil
 }
--- a/internal/api/job.go
+++ b/internal/api/job.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"strings"
+
+	"violetturn/internal/numeric"
 )
 
 // MaxTasks is the maximum number of tasks in a job.
@@ -54,9 +56,18 @@
 	if r.err != nil {
 		return nil, r.err
 	}
+	j.BoundAmounts()
 	return j, nil
 }
 
+// BoundAmounts bounds the job's amounts and durations, of which the protocol does not limit any.
+func (j *Job) BoundAmounts() {
+	numeric.Amounts(&j.CPUs, &j.GPUs, &j.MemGB, &j.ImageGB, &j.EstimatedRunS, &j.CheckpointIntervalS, &j.SaveDurationS)
+	if j.DeadlineS != nil {
+		numeric.Amounts(j.DeadlineS)
+	}
+}
+
 // readIdentity reads the ID, owner, kind, priority and number of tasks of a job.
 func (r *fieldReader) readIdentity(j *Job) {
 	r.readText("uid", &j.UID)
--- /dev/null
+++ b/internal/controller/huge_amounts_test.go
@@ -0,0 +1,85 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"testing"
+	"time"
+
+	"violetturn/internal/api"
+	"violetturn/internal/simulator"
+	"violetturn/internal/statecache"
+	"violetturn/internal/store"
+)
+
+// hugeSaveDuration is a save duration of a submission that overflows when it is doubled.
+const hugeSaveDuration = math.MaxFloat64
+
+// Guards against the end of every controller that stops a task whose save duration overflows when it
+// is doubled. The tasks are stopped because the cloud reclaims their machines.
+func TestHugeSaveDurationEndsNoController(t *testing.T) {
+	for name, kind := range map[string]api.JobKind{"array": api.Array, "gang": api.Gang} {
+		t.Run(name, func(t *testing.T) {
+			s := newReadyCluster()
+			id := s.submitSavingJob(kind, hugeSaveDuration)
+			s.runUntil(t, 80, "tasks run", func() bool { return s.runningTasks(id) == 2 })
+			s.reclaimSpotMachines()
+			s.runUntil(t, 200, "job is done", s.isDone(id))
+		})
+	}
+}
+
+// Guards against the same end by a job that an earlier version has accepted and recorded: each
+// controller that reads the record would end.
+func TestRecordedHugeSaveDurationEndsNoController(t *testing.T) {
+	for name, kind := range map[string]api.JobKind{"array": api.Array, "gang": api.Gang} {
+		t.Run(name, func(t *testing.T) {
+			s := newReadyCluster()
+			id := s.submitSavingJob(kind, 1)
+			s.runUntil(t, 80, "tasks run", func() bool { return s.runningTasks(id) == 2 })
+			s.environment.Jobs[id].Spec.SaveDurationS = hugeSaveDuration
+			s.changeRecordedSpec(t, id, func(spec map[string]any) { spec["stowS"] = hugeSaveDuration })
+			s.restartNodes(nil)
+			s.reclaimSpotMachines()
+			s.runUntil(t, 200, "job is done", s.isDone(id))
+		})
+	}
+}
+
+// submitSavingJob submits a job of two tasks that run on spot machines and save checkpoints.
+func (s *testCluster) submitSavingJob(kind api.JobKind, saveDurationS float64) string {
+	return s.submitArray(2, 20*time.Second, func(j *api.Job) {
+		j.Kind, j.AllowSpot, j.CheckpointIntervalS, j.SaveDurationS = kind, true, 2, saveDurationS
+	})
+}
+
+// reclaimSpotMachines notifies the workers of all spot machines that the cloud reclaims them.
+func (s *testCluster) reclaimSpotMachines() {
+	noticeS := 20.0
+	for _, worker := range s.environment.Cloud.WorkersByHost {
+		if worker.Spot {
+			worker.SpotNoticeS = &noticeS
+		}
+	}
+}
+
+// changeRecordedSpec changes the specification in a job's main record in the state service.
+func (s *testCluster) changeRecordedSpec(t fataler, uid string, change func(spec map[string]any)) {
+	t.Helper()
+	client, key := simulator.StoreClient{Store: s.environment.Store, TxnOps: 1, MaxValueBytes: 1 << 16}, statecache.JobKey(uid)
+	item, found, err := client.Get(context.Background(), key, 0)
+	if err != nil || !found {
+		t.Fatalf("record of %s: found %t, error %v, want the record", uid, found, err)
+	}
+	var record map[string]any
+	if err := json.Unmarshal(item.Value, &record); err != nil {
+		t.Fatalf("decoding the record of %s: %v", uid, err)
+	}
+	spec, _ := record["r"].(map[string]any)
+	change(spec)
+	write := store.Write{WriteKey: key, Value: api.MustMarshal(record)}
+	if result, err := client.Commit(context.Background(), &store.Txn{Writes: []store.Write{write}}, 0); err != nil || !result.Committed {
+		t.Fatalf("writing the record of %s: committed %t, error %v", uid, result.Committed, err)
+	}
+}
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -56,6 +56,7 @@
 	if err := json.Unmarshal(raw, &r); err != nil {
 		return nil, fmt.Errorf("decoding a job record: %w", err)
 	}
+	r.Spec.BoundAmounts() // an earlier version accepted jobs with any amounts
 	if r.RangeSize < 1 || r.Spec.Tasks < 1 {
 		return nil, fmt.Errorf("job record of %q: %w", r.Spec.UID, ErrNoTasks)
 	}
