A response or record that can't be encoded is an error, not the end

What callers would see: a controller that ends, and at the next request the next one, because of one number that JSON has no form for.

Cause: respond.JSON and Transaction.Put encoded with MustMarshal, which panics in the event loop of the server or in a decision.

A record that can't be encoded is not added to its transaction, which Commit then does not send. Both are logged as errors.

--- a/internal/controller/huge_amounts_test.go
+++ b/internal/controller/huge_amounts_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"violetturn/internal/api"
+	"violetturn/internal/job"
 	"violetturn/internal/simulator"
 	"violetturn/internal/statecache"
 	"violetturn/internal/store"
@@ -83,3 +84,19 @@
 		t.Fatalf("writing the record of %s: committed %t, error %v", uid, result.Committed, err)
 	}
 }
+
+// Guards against the end of a controller by a record with a number that JSON has no form for: the
+// transaction is not sent, and the controller goes on.
+func TestRecordThatCannotBeEncodedIsNotSent(t *testing.T) {
+	s := newReadyCluster()
+	txn := statecache.NewTransaction()
+	txn.Put(statecache.JobKey("run-1"), job.Record{Spec: api.Job{UID: "run-1", CPUs: math.Inf(1)}})
+	sent := s.environment.Store.SentWrites
+	committed, _, err := s.nodes[0].controller.sync.Commit(t.Context(), "test", txn, store.PriorityDecision)
+	if committed || err == nil || s.environment.Store.SentWrites != sent {
+		t.Errorf("committed %t, error %v, %d writes sent; want an error and nothing sent",
+			committed, err, s.environment.Store.SentWrites-sent)
+	}
+	id := s.submitArray(2, time.Second, nil)
+	s.runUntil(t, 100, "a later job is done", s.isDone(id))
+}
--- a/internal/reconcile/heartbeat.go
+++ b/internal/reconcile/heartbeat.go
@@ -6,6 +6,7 @@
 	"violetturn/internal/agent"
 	"violetturn/internal/api"
 	"violetturn/internal/leadership"
+	"violetturn/internal/logkey"
 	"violetturn/internal/respond"
 	"violetturn/internal/shard"
 	"violetturn/internal/transport"
@@ -50,7 +51,11 @@
 		commands = r.CommandsFor(heartbeat, worker, now)
 	}
 	worker.LastAnswered = now
-	return respond.JSON(statusOK, api.CommandBatch{Token: worker.Token(), Commands: commands})
+	response := respond.JSON(statusOK, api.CommandBatch{Token: worker.Token(), Commands: commands})
+	if response.Status == respond.StatusInternalError {
+		r.node.Log.Error("commands can't be encoded", logkey.Host(heartbeat.Host))
+	}
+	return response
 }
 
 // queueRegistration queues the registration of a machine without a record if the cloud lists it.
--- a/internal/statecache/transaction.go
+++ b/internal/statecache/transaction.go
@@ -2,8 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"fmt"
 
-	"violetturn/internal/api"
 	"violetturn/internal/shard"
 	"violetturn/internal/store"
 )
@@ -18,6 +19,7 @@
 	changedKeys   []string // keys of the writes, deletions included, in the order in which they were added
 
 	capacities map[string]*shard.CapacityRecord // written capacity records in decoded form, by key
+	err        error                            // records that can't be encoded
 }
 
 // NewTransaction returns an empty transaction.
@@ -41,14 +43,24 @@
 // ClearPreconditions removes all preconditions.
 func (t *Transaction) ClearPreconditions() { clear(t.preconditions) }
 
-// Put adds a write of a record. It must not follow a Delete of the same record.
+// Put adds a write of a record. It must not follow a Delete of the same record. A record that can't
+// be encoded is not added, and Err reports it.
 func (t *Transaction) Put(key string, record any) {
+	value, err := json.Marshal(record)
+	if err != nil {
+		t.err = errors.Join(t.err, fmt.Errorf("encode record %s: %w", key, err))
+		return
+	}
 	if _, ok := t.writes[key]; !ok {
 		t.changedKeys = append(t.changedKeys, key)
 	}
-	t.writes[key] = api.MustMarshal(record)
+	t.writes[key] = value
 }
 
+// Err returns why the transaction can't be sent: some of its records can't be encoded. It returns nil
+// if there are none.
+func (t *Transaction) Err() error { return t.err }
+
 // PutWithLease adds a write of a record that the state service deletes when a lease ends.
 func (t *Transaction) PutWithLease(key string, record any, leaseID uint64) {
 	t.Put(key, record)
--- a/internal/storesync/commit.go
+++ b/internal/storesync/commit.go
@@ -12,10 +12,15 @@
 // the log summary counts it. committed is false if the transaction did not commit, and also if its
 // outcome is unknown, in which case err is store.ErrOutcomeUnknown. conflicts are the keys whose
 // versions differed. For a transaction that was refused as too large, err and conflicts are nil, and
-// the caller builds a new, smaller one.
+// the caller builds a new, smaller one. A transaction with a record that can't be encoded is not
+// sent, and err says so.
 func (s *Sync) Commit(
 	ctx context.Context, purpose string, txn *statecache.Transaction, priority store.Priority,
 ) (committed bool, conflicts []string, err error) {
+	if err := txn.Err(); err != nil {
+		s.node.Log.Error("transaction can't be encoded", "for", purpose, "err", err)
+		return false, nil, err
+	}
 	request := txn.Request()
 	result, err := s.services.Store.Commit(ctx, request, priority)
 	if err == nil && result.Committed {
