Amounts of huge machines no longer overflow when they are recorded

What callers saw: with a machine type of 9.3e12 GB or more no job ever ran: an accepted job waited for ever. A boot time of more than 9.2e9 s made every time derived from it negative.

Cause: Rounded converts an amount to an integer of millionths. Above 9.2e12 that overflows, and the machine's free capacity was recorded as -9.2e12. Boot times were converted to a duration in three places, each of which overflows. The sizes, prices and times that the cloud sends were bounded nowhere, nor were amounts read from records.

Change: amounts that are coarser than a rounding step are not rounded. The catalog bounds what the cloud sends, Resources what records have. Durations and counts are converted by numeric. The share of a machine in a fit key is at most 1, so that its conversion is defined.

--- a/internal/autoscaler/headroom.go
+++ b/internal/autoscaler/headroom.go
@@ -8,6 +8,7 @@
 	"violetturn/internal/capacity"
 	"violetturn/internal/config"
 	"violetturn/internal/estimate"
+	"violetturn/internal/numeric"
 	"violetturn/internal/sched"
 	"violetturn/internal/statecache"
 	"violetturn/internal/zonestate"
@@ -77,7 +78,7 @@
 		if policyTasks == 0 {
 			continue
 		}
-		tasks := int(math.Ceil(max(policyTasks, a.expectedGrowth(&demand, boot, now))))
+		tasks := numeric.Int(math.Ceil(max(policyTasks, a.expectedGrowth(&demand, boot, now))))
 		jobAdmission := a.zones.AdmissionForSpec(demand.newestSpec, admission)
 		requests = append(requests, a.newHeadroomRequest(class, demand.newestSpec, tasks, jobAdmission))
 	}
--- a/internal/autoscaler/scale_in_review.go
+++ b/internal/autoscaler/scale_in_review.go
@@ -8,6 +8,7 @@
 	"violetturn/internal/api"
 	"violetturn/internal/catalog"
 	"violetturn/internal/cloud"
+	"violetturn/internal/numeric"
 	"violetturn/internal/sched"
 	"violetturn/internal/shard"
 	"violetturn/internal/statecache"
@@ -50,7 +51,7 @@
 }
 
 func bootDuration(machineType *cloud.MachineType) time.Duration {
-	return time.Duration(machineType.BootS * float64(time.Second))
+	return numeric.Duration(machineType.BootS)
 }
 
 // cordon excludes a machine from new placements and wakes the decision loop.
@@ -164,8 +165,7 @@
 		if job == nil || job.Record.Cancelled || task.Placement.Stopping || job.Record.Spec.Kind != api.Service {
 			return false
 		}
-		placedAt := time.UnixMilli(job.Record.AcceptedMS).Add(time.Duration(task.Placement.PlacedS) * time.Second)
-		if r.now.Sub(placedAt) < boot {
+		if r.now.Sub(time.UnixMilli(job.PlacedAtMS(task))) < boot {
 			return false
 		}
 		used = used.Add(statecache.ResourcesOf(&job.Record.Spec))
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,10 +1,12 @@
 package catalog
 
 import (
+	"slices"
 	"time"
 
 	"violetturn/internal/cloud"
 	"violetturn/internal/node"
+	"violetturn/internal/numeric"
 	"violetturn/internal/sched"
 )
 
@@ -21,8 +23,17 @@
 	return &Catalog{node: node, backoffs: map[offerKey]backoff{}}
 }
 
-// SetMachineTypes replaces the machine types by those that the cloud offers now.
-func (c *Catalog) SetMachineTypes(types []cloud.MachineType) { c.machineTypes = types }
+// SetMachineTypes replaces the machine types by those that the cloud offers now. It bounds their
+// amounts, of which the protocol does not limit any.
+func (c *Catalog) SetMachineTypes(types []cloud.MachineType) {
+	c.machineTypes = slices.Clone(types)
+	for i := range c.machineTypes {
+		t := &c.machineTypes[i]
+		for _, amount := range []*float64{&t.CPUs, &t.GPUs, &t.MemGB, &t.CacheGB, &t.FetchGBPerS, &t.Price, &t.SpotPrice, &t.BootS} {
+			*amount = max(numeric.Amount(*amount), 0)
+		}
+	}
+}
 
 // MachineTypes returns the machine types in the cloud's order; none if they have not been read yet.
 func (c *Catalog) MachineTypes() []cloud.MachineType { return c.machineTypes }
@@ -39,7 +50,7 @@
 			shortest = boot
 		}
 	}
-	return durationOfSeconds(shortest)
+	return numeric.Duration(shortest)
 }
 
 // MachineCapacity returns the size and the cloud's description of a machine type; nil if the
@@ -73,5 +84,3 @@
 func resourcesOf(machineType *cloud.MachineType) sched.Resources {
 	return sched.Resources{CPUs: machineType.CPUs, GPUs: machineType.GPUs, MemGB: machineType.MemGB}
 }
-
-func durationOfSeconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log/slog"
+	"math"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"violetturn/internal/cloud"
 	"violetturn/internal/config"
 	"violetturn/internal/node"
+	"violetturn/internal/numeric"
 	"violetturn/internal/sched"
 )
 
@@ -135,3 +137,26 @@
 		t.Errorf("fetching takes %v seconds without a known rate, want 0", got)
 	}
 }
+
+// Guards against boot times that overflow to a negative duration, and against prices and capacities
+// below zero or without a finite sum.
+func TestMachineTypesAreBounded(t *testing.T) {
+	c := newTestCatalog(t)
+	for _, amount := range []float64{math.MaxFloat64, -math.MaxFloat64} {
+		c.SetMachineTypes([]cloud.MachineType{{
+			Name: "m", CPUs: amount, GPUs: amount, MemGB: amount, CacheGB: amount, FetchGBPerS: amount,
+			Price: amount, SpotPrice: amount, BootS: amount, Zones: []string{"x"},
+		}})
+		want := min(max(amount, 0), numeric.MaxAmount)
+		if boot := c.ShortestBoot(); boot != numeric.Duration(want) {
+			t.Errorf("boot time of %g s is %v, want %v", amount, boot, numeric.Duration(want))
+		}
+		if size, found := c.MachineCapacity("m"); size != (sched.Resources{CPUs: want, GPUs: want, MemGB: want}) || found.Price != want {
+			t.Errorf("capacities and price of %g are %v and %g, want %g", amount, size, found.Price, want)
+		}
+	}
+	c.SetMachineTypes([]cloud.MachineType{{Name: "m", FetchGBPerS: math.SmallestNonzeroFloat64}})
+	if seconds := c.FetchSeconds(&api.Job{ImageGB: 1}); seconds != numeric.MaxAmount {
+		t.Errorf("fetching takes %g s, want at most %g", seconds, numeric.MaxAmount)
+	}
+}
--- a/internal/catalog/jobs.go
+++ b/internal/catalog/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"violetturn/internal/api"
+	"violetturn/internal/numeric"
 	"violetturn/internal/statecache"
 )
 
@@ -19,7 +20,7 @@
 	if fastestGBPerS <= 0 {
 		return 0
 	}
-	return spec.ImageGB / fastestGBPerS
+	return numeric.Amount(spec.ImageGB / fastestGBPerS)
 }
 
 // RejectionReason returns why a job can never run, or "" if it can. The reason is shown to users.
--- a/internal/catalog/offers.go
+++ b/internal/catalog/offers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"violetturn/internal/numeric"
 	"violetturn/internal/sched"
 )
 
@@ -53,7 +54,7 @@
 func (c *Catalog) BackOff(offer *sched.Offer, now time.Time) {
 	bootTime := c.node.Settings.WorkerLease() // used if the catalog does not contain the machine type
 	if _, machineType := c.MachineCapacity(offer.MachineType); machineType != nil {
-		bootTime = durationOfSeconds(machineType.BootS)
+		bootTime = numeric.Duration(machineType.BootS)
 	}
 	entry := c.backoffs[offerKeyOf(offer)]
 	entry.delay = min(max(2*entry.delay, bootTime/4), 2*bootTime)
--- a/internal/controller/huge_amounts_test.go
+++ b/internal/controller/huge_amounts_test.go
@@ -100,3 +100,13 @@
 	id := s.submitArray(2, time.Second, nil)
 	s.runUntil(t, 100, "a later job is done", s.isDone(id))
 }
+
+// Guards against tasks that wait forever because the free memory of a huge machine is recorded as a
+// negative amount.
+func TestHugeMachineIsUsed(t *testing.T) {
+	s := newTestCluster()
+	s.environment.MachineType.MemGB = math.MaxFloat64
+	s.runFor(10)
+	id := s.submitArray(4, 5*time.Second, nil)
+	s.runUntil(t, 200, "job is done", s.isDone(id))
+}
--- a/internal/sched/fit.go
+++ b/internal/sched/fit.go
@@ -33,7 +33,8 @@
 
 // freeShareKey returns the bits of a fitKey that hold the share of the machine that would stay free.
 func freeShareKey(h *Host, request *TaskRequest) fitKey {
-	return fitKey(math.Round(max(freeShareAfter(h, request.Need), 0)/epsilon)) << freeShareShift
+	share := min(max(freeShareAfter(h, request.Need), 0), 1)
+	return fitKey(math.Round(share/epsilon)) << freeShareShift
 }
 
 // completeFitKey adds the other bits to the free share key of a machine with enough capacity. ok is
--- a/internal/sched/resources.go
+++ b/internal/sched/resources.go
@@ -4,6 +4,9 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"math"
+
+	"violetturn/internal/numeric"
 )
 
 // Resources is an amount of resources that a machine has or a task needs.
@@ -45,10 +48,22 @@
 	return Resources{round(r.CPUs), round(r.GPUs), round(r.MemGB)}
 }
 
-// roundingSteps is the number of rounding steps in an amount of 1.
-const roundingSteps = 1e6
+const (
+	// roundingSteps is the number of rounding steps in an amount of 1.
+	roundingSteps = 1e6
+	// maxRounded is the amount from which the digits of a float64 are as coarse as a rounding step.
+	maxRounded = numeric.MaxInt / roundingSteps
+)
+
+func round(amount float64) float64 {
+	if !(math.Abs(amount) < maxRounded) {
+		return amount
+	}
+	return float64(int64(amount*roundingSteps+0.5)) / roundingSteps
+}
 
-func round(amount float64) float64 { return float64(int64(amount*roundingSteps+0.5)) / roundingSteps }
+// maxRecorded bounds the amounts that are read from records, which may be sums over many tasks.
+const maxRecorded = 1e6 * numeric.MaxAmount
 
 // recordedResources is the JSON encoding of Resources: CPUs, GPUs, memory.
 type recordedResources [3]float64
@@ -58,12 +73,15 @@
 	return json.Marshal(recordedResources{r.CPUs, r.GPUs, r.MemGB})
 }
 
-// UnmarshalJSON implements json.Unmarshaler.
+// UnmarshalJSON implements json.Unmarshaler. It bounds the amounts, so that sums of them are finite.
 func (r *Resources) UnmarshalJSON(b []byte) error {
 	var recorded recordedResources
 	if err := json.Unmarshal(b, &recorded); err != nil {
 		return fmt.Errorf("decoding resources: %w", err)
 	}
+	for i, amount := range recorded {
+		recorded[i] = min(max(amount, -maxRecorded), maxRecorded)
+	}
 	*r = Resources{CPUs: recorded[0], GPUs: recorded[1], MemGB: recorded[2]}
 	return nil
 }
