Tiny tasks rent the cheapest offer

Cause: tasksPerMachine converted capacity/need to an integer, which overflows to a negative number of tasks, so that every price per task was negative and next to zero.

--- a/internal/sched/rental.go
+++ b/internal/sched/rental.go
@@ -1,6 +1,9 @@
 package sched
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // Offer is a machine type that can be rented in one zone, as an on-demand or a spot machine.
 type Offer struct {
@@ -124,7 +127,7 @@
 		{capacity.CPUs, need.CPUs}, {capacity.GPUs, need.GPUs}, {capacity.MemGB, need.MemGB},
 	} {
 		if amount.need > 0 {
-			tasks = min(tasks, float64(int(amount.capacity/amount.need+epsilon)))
+			tasks = min(tasks, math.Floor(amount.capacity/amount.need+epsilon))
 		}
 	}
 	return tasks
--- a/internal/sched/rental_test.go
+++ b/internal/sched/rental_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -37,3 +38,17 @@
 		}
 	})
 }
+
+// Guards against a negative price per task for tasks so small that any number of them fits, which made
+// the first offer the cheapest.
+func TestTinyTasksRentTheCheapestOffer(t *testing.T) {
+	for _, need := range []float64{0, math.SmallestNonzeroFloat64, 1e-300, 1e-7} {
+		capacity := Resources{CPUs: 8, MemGB: 64}
+		offers := []Offer{{Zone: "x", Capacity: capacity, Price: 3}, {Zone: "y", Capacity: capacity, Price: 1}}
+		unmet := []UnmetDemand{{Request: TaskRequest{Need: Resources{CPUs: need, MemGB: 1e-300}}, Count: 1}}
+		orders := PlanRentals(unmet, nil, offers, "")
+		if len(orders) != 1 || orders[0].Offer.Price != 1 {
+			t.Errorf("task of %g CPUs: got orders %+v, want one of the cheaper offer", need, orders)
+		}
+	}
+}
