A share of a tiny quota is a number

Cause: QuotaShare divides the limit into 32 steps and the usage by a step, which is zero for such a limit.

Change: a limit whose steps are below the tolerance of sums has no steps; a share of it is exactly what is used.

--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -34,6 +34,9 @@
 		return used, false
 	}
 	step := limit / quotaSteps
+	if step < epsilon { // too small to divide by
+		return used, true
+	}
 	share = math.Ceil(used/step+1) * step
 	if heldByOthers+share > limit*nearLimitShare {
 		return used, true
--- a/internal/sched/quota_test.go
+++ b/internal/sched/quota_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"encoding/json"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -45,3 +46,20 @@
 		}
 	})
 }
+
+// Guards against a share that is no number, which can't be recorded, for a limit so small that its
+// steps are zero, and against a share that does not cover the usage.
+func TestQuotaShareCoversUsageOfAnyLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := Resources{CPUs: drawAmount(t, "CPU limit"), GPUs: drawAmount(t, "GPU limit")}
+		used := Resources{CPUs: drawAmount(t, "CPUs"), GPUs: drawAmount(t, "GPUs")}
+		heldByOthers := Resources{CPUs: limit.CPUs / 4}
+		share, ok := QuotaShare(limit, heldByOthers, used)
+		if recorded := share.Rounded(); ok && !WithinQuota(limit, recorded, used) {
+			t.Fatalf("share of the limit %v is %v, want it to cover the usage %v", limit, recorded, used)
+		}
+		if _, err := json.Marshal(share.Rounded()); err != nil {
+			t.Fatalf("share of the limit %v for the usage %v can't be recorded: %v", limit, used, err)
+		}
+	})
+}
