Settings with huge or tiny numbers no longer overflow

What operators saw: a settings file that is accepted, and a controller that is of no use. write_rps 1e300 made the writes that may be sent negative, so that nothing was ever decided; value_kb 1e300 the size of a record negative, so that each submission was "too long"; max_sockets above 1.8e18 the connections of a server negative, so that each was closed; lease_s above 9.2e9 every time derived from it negative; a rate next to zero a wait that does not wait.

Cause: seconds, rates and sizes were converted to durations and integers wherever they were used. Go leaves the result undefined if it does not fit. list_lag_s and within_s were not checked at all (NaN, negative).

Change: Parse bounds the numbers after the checks; conversions go through numeric. A heartbeat interval is at least a millisecond, the resolution of timers. list_lag_s and within_s have to be at least 0. FuzzParse checks derived times for all leases, no longer only for those below 1e9 s.

TestTokenBucketWaitsAtLowestRate failed before ("wait -2562047h47m16.854775808s").

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -37,7 +37,9 @@
 // check returns an error for the first invalid setting. It also completes the announced limits of
 // the state service (facts.state.next) with the current ones.
 func (s *Settings) check() error {
-	steps := []func() error{s.checkNames, s.checkPositiveNumbers, s.checkLimits, s.checkNextLimits, s.checkWorkers, s.checkTeams}
+	steps := []func() error{
+		s.checkNames, s.checkPositiveNumbers, s.checkLimits, s.checkNextLimits, s.checkWorkers, s.checkTeams, s.checkTimes,
+	}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return err
@@ -205,6 +207,19 @@
 	return nil
 }
 
+// checkTimes checks the times that may be zero of the cloud and the objectives.
+func (s *Settings) checkTimes() error {
+	if !isNonNegative(s.Facts.Cloud.ListLagS) {
+		return newFieldError("facts.cloud.list_lag_s", reasonNegative)
+	}
+	for i, objective := range s.Facts.Objectives {
+		if !isNonNegative(objective.WithinS) {
+			return newFieldError(fmt.Sprintf("facts.objectives[%d].within_s", i), reasonNegative)
+		}
+	}
+	return nil
+}
+
 // checkTeams checks the teams' names, guarantees and limits.
 func (s *Settings) checkTeams() error {
 	seen := map[string]bool{}
--- a/internal/config/fuzz_test.go
+++ b/internal/config/fuzz_test.go
@@ -7,11 +7,9 @@
 	"strings"
 	"testing"
 	"time"
-)
 
-// maxCheckedSeconds is the longest lease and cancel time for which derived times are checked. Much
-// longer ones overflow time.Duration.
-const maxCheckedSeconds = 1e9
+	"violetturn/internal/numeric"
+)
 
 // checkErrorIsOneLine checks that an error's text is one line and not empty.
 func checkErrorIsOneLine(t *testing.T, err error) {
@@ -44,9 +42,7 @@
 			return
 		}
 		checkDerivedLimits(t, s)
-		if w := s.Facts.Workers; w.LeaseS < maxCheckedSeconds && w.CancelTimeoutS < maxCheckedSeconds {
-			checkDerivedTimes(t, s)
-		}
+		checkDerivedTimes(t, s)
 	})
 }
 
@@ -80,9 +76,9 @@
 			s.ControllerLeaseTTL(), minControllerLease, s.MaxStaleness())
 	}
 	grace := s.LeadershipGracePeriod()
-	if total := s.ControllerLeaseTTL() + grace + s.WorkerLeaseBound(); grace > 0 && total > seconds(s.Facts.Workers.CancelTimeoutS) {
+	if total := s.ControllerLeaseTTL() + grace + s.WorkerLeaseBound(); grace > 0 && total > numeric.Duration(s.Facts.Workers.CancelTimeoutS) {
 		t.Fatalf("a cancellation that a partitioned leader can't read takes %v, want at most %v", total,
-			seconds(s.Facts.Workers.CancelTimeoutS))
+			numeric.Duration(s.Facts.Workers.CancelTimeoutS))
 	}
 	if grace < 0 || s.DecisionInterval() < 0 || s.DecisionInterval() > s.HeartbeatInterval() {
 		t.Fatalf("grace period is %v, want at least 0; decision interval is %v, want 0 to %v",
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -1,5 +1,7 @@
 package config
 
+import "violetturn/internal/numeric"
+
 // Lowest limits of the state service under which this service works. The largest step that must be
 // atomic (a placement together with the capacity record of its shard and the quota record of its
 // team) takes 4 writes, and a submission of ordinary length has to fit in one value.
@@ -18,6 +20,14 @@
 	socketsPerMember = 16
 )
 
+// Highest limits that the service makes use of. Higher ones count as these.
+const (
+	// maxValueKB is the size of a whole transaction (PROTOCOL), so no value can be larger.
+	maxValueKB = 64
+	maxTxnOps  = 1 << 20
+	maxSockets = 1 << 20
+)
+
 const (
 	bytesPerMB = 1 << 20
 	// memoryShare is the fraction of the machine's memory limit that the garbage collector may
@@ -51,3 +61,31 @@
 	}
 	return lowest
 }
+
+// boundNumbers bounds the numbers of checked settings, so that all that is derived from them can be
+// calculated.
+func (s *Settings) boundNumbers() {
+	f := &s.Facts
+	w := &f.Workers
+	numeric.Amounts(&w.HeartbeatIntervalS, &w.LeaseS, &w.CancelTimeoutS, &w.GangGatherTimeoutS, &w.GangPeerTimeoutS)
+	numeric.Amounts(&f.Cloud.RPS, &f.Cloud.ListLagS, &f.Limits.Cores, &f.Limits.MemoryMB)
+	f.Limits.MaxSockets = min(f.Limits.MaxSockets, maxSockets)
+	f.State.StateLimits.bound()
+	if f.State.NextLimits != nil {
+		f.State.NextLimits.bound()
+	}
+	for i := range f.Teams {
+		t := &f.Teams[i]
+		numeric.Amounts(&t.GuaranteedCPUs, &t.MaxCPUs, &t.GuaranteedGPUs, &t.MaxGPUs)
+	}
+	for i := range f.Objectives {
+		numeric.Amounts(&f.Objectives[i].WithinS)
+	}
+}
+
+// bound bounds the limits as boundNumbers does.
+func (l *StateLimits) bound() {
+	numeric.Amounts(&l.RPS, &l.WriteRPS)
+	l.ValueKB = min(l.ValueKB, maxValueKB)
+	l.TxnOps = min(l.TxnOps, maxTxnOps)
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -130,7 +130,8 @@
 	return s, nil
 }
 
-// Parse parses and checks settings. Errors are one line that names the field and the reason.
+// Parse parses and checks settings. Errors are one line that names the field and the reason. Numbers
+// that are too large to calculate with count as the largest that is not.
 func Parse(b []byte) (*Settings, error) {
 	var s Settings
 	if err := toml.Unmarshal(b, &s); err != nil {
@@ -142,6 +143,7 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
+	s.boundNumbers()
 	return &s, nil
 }
 
--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"testing"
+
+	"violetturn/internal/numeric"
 )
 
 const validSettings = `
@@ -157,9 +159,9 @@
 		if s.ControllerLeaseTTL() > s.WorkerLease()/3+500e6 {
 			t.Errorf("%v: controller lease is %v, want at most 500ms above a third of %v", w, s.ControllerLeaseTTL(), s.WorkerLease())
 		}
-		if g := s.LeadershipGracePeriod(); g > 0 && s.ControllerLeaseTTL()+g+s.WorkerLeaseBound() > seconds(f.CancelTimeoutS) {
+		if g := s.LeadershipGracePeriod(); g > 0 && s.ControllerLeaseTTL()+g+s.WorkerLeaseBound() > numeric.Duration(f.CancelTimeoutS) {
 			t.Errorf("%v: grace period is %v, want lease, grace period and worker lease together at most %v",
-				w, g, seconds(f.CancelTimeoutS))
+				w, g, numeric.Duration(f.CancelTimeoutS))
 		}
 	}
 }
--- a/internal/config/timing.go
+++ b/internal/config/timing.go
@@ -1,6 +1,10 @@
 package config
 
-import "time"
+import (
+	"time"
+
+	"violetturn/internal/numeric"
+)
 
 // clockDriftFactor widens an upper bound on a duration that another machine measures. By PROTOCOL a
 // monotonic clock drifts by up to 0.05 per cent; that is doubled for two clocks, and doubled again
@@ -10,16 +14,17 @@
 // minControllerLease is a lower bound on the lease of a controller.
 const minControllerLease = 500 * time.Millisecond
 
-// seconds converts a number of seconds to a duration.
-func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
+// minHeartbeatInterval is a lower bound on the heartbeat interval, the resolution of timers. Loops
+// that wait for fractions of the interval would otherwise not wait at all.
+const minHeartbeatInterval = time.Millisecond
 
 // WorkerLease returns how long a worker keeps its tasks running after it sent the last heartbeat
 // that was answered.
-func (s *Settings) WorkerLease() time.Duration { return seconds(s.Facts.Workers.LeaseS) }
+func (s *Settings) WorkerLease() time.Duration { return numeric.Duration(s.Facts.Workers.LeaseS) }
 
 // HeartbeatInterval returns how often a worker sends a heartbeat.
 func (s *Settings) HeartbeatInterval() time.Duration {
-	return seconds(s.Facts.Workers.HeartbeatIntervalS)
+	return max(numeric.Duration(s.Facts.Workers.HeartbeatIntervalS), minHeartbeatInterval)
 }
 
 // WorkerLeaseBound returns the time after which a worker's tasks have certainly ended. It is measured
@@ -30,17 +35,22 @@
 
 // GangGatherTimeout returns how long a started task of a gang waits for the other tasks to start.
 func (s *Settings) GangGatherTimeout() time.Duration {
-	return seconds(s.Facts.Workers.GangGatherTimeoutS)
+	return numeric.Duration(s.Facts.Workers.GangGatherTimeoutS)
 }
 
 // GangPeerTimeout returns the time within which the tasks of a gang detect that one of them has
 // ended. The stop commands have to reach all tasks within this time for their progress to be saved.
-func (s *Settings) GangPeerTimeout() time.Duration { return seconds(s.Facts.Workers.GangPeerTimeoutS) }
+func (s *Settings) GangPeerTimeout() time.Duration {
+	return numeric.Duration(s.Facts.Workers.GangPeerTimeoutS)
+}
+
+// CloudListLag returns how old the cloud's list of machines may be.
+func (s *Settings) CloudListLag() time.Duration { return numeric.Duration(s.Facts.Cloud.ListLagS) }
 
 // DecisionInterval returns how long a controller collects events before its next commit: the time
 // that one write takes at its share of the write rate, but at most a twelfth of a heartbeat interval.
 func (s *Settings) DecisionInterval() time.Duration {
-	return min(s.HeartbeatInterval()/12, seconds(float64(s.Facts.ControllerCount)/s.Facts.State.WriteRPS))
+	return min(s.HeartbeatInterval()/12, numeric.Duration(float64(s.Facts.ControllerCount)/s.Facts.State.WriteRPS))
 }
 
 // CloudCallsPerRun is the usual number of cloud API calls of each kind in one autoscaler run.
@@ -51,13 +61,13 @@
 // interval.
 func (s *Settings) AutoscaleInterval() time.Duration {
 	share := s.Facts.Cloud.RPS / float64(s.Facts.ControllerCount)
-	return min(s.HeartbeatInterval()/3, seconds(CloudCallsPerRun/share))
+	return min(s.HeartbeatInterval()/3, numeric.Duration(CloudCallsPerRun/share))
 }
 
 // QueryReadInterval returns the minimum interval between two reads of the state service on behalf of user
 // queries. These reads take at most about a quarter of this controller's share of the request rate.
 func (s *Settings) QueryReadInterval() time.Duration {
-	return seconds(4 * float64(s.Facts.ControllerCount) / s.Facts.State.RPS)
+	return numeric.Duration(4 * float64(s.Facts.ControllerCount) / s.Facts.State.RPS)
 }
 
 // ControllerLeaseTTL returns the time to live of a controller's lease: two heartbeat intervals, but at
@@ -93,5 +103,5 @@
 // cancelMargin returns cancel_s minus the bound on a worker's lease and a quarter of a heartbeat
 // interval. It may be negative.
 func (s *Settings) cancelMargin() time.Duration {
-	return seconds(s.Facts.Workers.CancelTimeoutS/clockDriftFactor) - s.WorkerLeaseBound() - s.HeartbeatInterval()/4
+	return numeric.Duration(s.Facts.Workers.CancelTimeoutS/clockDriftFactor) - s.WorkerLeaseBound() - s.HeartbeatInterval()/4
 }
--- a/internal/numeric/numeric.go
+++ b/internal/numeric/numeric.go
@@ -37,7 +37,7 @@
 
 // ScaledDuration returns d multiplied by a factor. The result is bounded like that of Duration.
 func ScaledDuration(d time.Duration, factor float64) time.Duration {
-	return Duration(d.Seconds() * factor)
+	return time.Duration(bound(float64(d)*factor, MaxAmount*float64(time.Second)))
 }
 
 // Int converts v to an integer, rounding towards zero. The result is between -MaxInt and MaxInt, and 0
--- a/internal/scaling/list.go
+++ b/internal/scaling/list.go
@@ -22,7 +22,7 @@
 // due or unfinished. Listing a few thousand machines takes several runs.
 func (l *Loop) readMachineList(ctx context.Context, now time.Time) {
 	list := &l.list
-	lag := time.Duration(l.node.Settings.Facts.Cloud.ListLagS * float64(time.Second))
+	lag := l.node.Settings.CloudListLag()
 	interval := max(lag, l.node.Settings.HeartbeatInterval())
 	if list.listing.Active() && now.Sub(list.listing.StartedAt) > listTimeoutIntervals*interval {
 		list.listing.Abandon() // the cloud did not respond in time
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"testing"
 	"time"
@@ -139,6 +140,22 @@
 	}
 }
 
+// Guards against a wait that overflows to a negative duration, which does not wait at all, for a rate
+// next to zero.
+func TestTokenBucketWaitsAtLowestRate(t *testing.T) {
+	now := time.Unix(0, 0)
+	for _, rate := range []float64{0, math.SmallestNonzeroFloat64, 1e-300, 1e-9} {
+		b := NewTokenBucket(rate, 1)
+		if _, ok := b.Take(now, 1, 0); !ok {
+			t.Fatalf("rate %g: Take from a full bucket: got false, want true", rate)
+		}
+		wait, ok := b.Take(now, 1, 0)
+		if ok || wait < time.Hour || b.TimeToRefill(1) < time.Hour {
+			t.Errorf("rate %g: Take from an empty bucket: got %t, wait %v, time to refill %v; want false and years", rate, ok, wait, b.TimeToRefill(1))
+		}
+	}
+}
+
 // openIdleConnection opens a connection and sends nothing on it, or only part of a request.
 func openIdleConnection(t *testing.T, addr, partialRequest string) net.Conn {
 	t.Helper()
--- a/internal/transport/token_bucket.go
+++ b/internal/transport/token_bucket.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"violetturn/internal/numeric"
 )
 
 // TokenBucket keeps a client within its share of an external system's rate limit. Requests of a
@@ -54,7 +56,7 @@
 		b.totalTaken += n
 		return 0, true
 	}
-	return time.Duration((need - b.tokens) / b.rate * float64(time.Second)), false
+	return numeric.Duration((need - b.tokens) / b.rate), false
 }
 
 // Available returns how many tokens can be taken now so that reservedShare of the burst remains.
@@ -84,7 +86,7 @@
 func (b *TokenBucket) TimeToRefill(n float64) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return time.Duration(n / b.rate * float64(time.Second))
+	return numeric.Duration(n / b.rate)
 }
 
 // TokensUsed returns the number of tokens taken since the start.
--- a/internal/zonestate/zones.go
+++ b/internal/zonestate/zones.go
@@ -11,6 +11,7 @@
 	"violetturn/internal/features"
 	"violetturn/internal/leadership"
 	"violetturn/internal/node"
+	"violetturn/internal/numeric"
 	"violetturn/internal/schema"
 	"violetturn/internal/statecache"
 	"violetturn/internal/zonehealth"
@@ -88,7 +89,7 @@
 // limits returns the configured limits for the evaluation of zones.
 func (z *Zones) limits() *zonehealth.Limits {
 	settings := &z.node.Features.ZoneRecovery
-	leaseMultiple := func(n float64) time.Duration { return time.Duration(n * float64(z.node.Settings.WorkerLease())) }
+	leaseMultiple := func(n float64) time.Duration { return numeric.ScaledDuration(z.node.Settings.WorkerLease(), n) }
 	return &zonehealth.Limits{
 		SuspectShare:     settings.SuspectShare,
 		DownShare:        settings.DownShare,
