The lease of a controller is one that the state service grants

What operators saw: with report_s above 300 s and lease_s above 1,800 s no controller ever led a shard, and no job ran.

Cause: ControllerLeaseTTL is two heartbeat intervals, at most a third of a worker lease. PROTOCOL limits a lease to 600 s, and the state service answers 400 to a request for more.

Change: the lease is at most 600 s.

Evidence: TestControllerLeaseIsGranted failed before ("report_s and lease_s [400 2000]: controller lease is 11m6.666666666s, want 100ms to 600s") and passes.

--- a/internal/config/numbers_test.go
+++ b/internal/config/numbers_test.go
@@ -101,6 +101,9 @@
 	if s.HeartbeatInterval() < minHeartbeatInterval {
 		t.Fatalf("heartbeat interval is %v, want at least %v", s.HeartbeatInterval(), minHeartbeatInterval)
 	}
+	if s.ControllerLeaseTTL() > maxControllerLease {
+		t.Fatalf("controller lease is %v, but the state service grants at most %v", s.ControllerLeaseTTL(), maxControllerLease)
+	}
 	checkDerivedCounts(t, s)
 }
 
--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"violetturn/internal/numeric"
 )
@@ -146,6 +147,21 @@
 	}
 }
 
+// Guards against a lease that the state service refuses to grant, so that no controller ever leads a
+// shard: heartbeat intervals of more than five minutes lead to one of more than PROTOCOL allows.
+func TestControllerLeaseIsGranted(t *testing.T) {
+	s, err := Parse([]byte(validSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, w := range [][2]float64{{0.001, 0.002}, {1.5, 10}, {400, 2000}, {1e300, 1.7e308}} {
+		s.Facts.Workers.HeartbeatIntervalS, s.Facts.Workers.LeaseS = w[0], w[1]
+		if ttl := s.ControllerLeaseTTL(); ttl < 100*time.Millisecond || ttl > 600*time.Second {
+			t.Errorf("report_s and lease_s %v: controller lease is %v, want 100ms to 600s", w, ttl)
+		}
+	}
+}
+
 // A leader that can't reach the state service doesn't read cancellations. Its grace period ends early
 // enough for the tasks of a cancelled job to end within cancel_s, for short and long leases.
 func TestLeadershipGraceLeavesTimeToCancel(t *testing.T) {
--- a/internal/config/timing.go
+++ b/internal/config/timing.go
@@ -11,8 +11,11 @@
 // as a safety margin.
 const clockDriftFactor = 1.002
 
-// minControllerLease is a lower bound on the lease of a controller.
-const minControllerLease = 500 * time.Millisecond
+// Bounds on the lease of a controller. The upper one is that of PROTOCOL for any lease.
+const (
+	minControllerLease = 500 * time.Millisecond
+	maxControllerLease = 600 * time.Second
+)
 
 // minHeartbeatInterval is a lower bound on the heartbeat interval, the resolution of timers. Loops
 // that wait for fractions of the interval would otherwise not wait at all.
@@ -72,9 +75,9 @@
 
 // ControllerLeaseTTL returns the time to live of a controller's lease: two heartbeat intervals, but at
 // most a third of a worker's lease, so that other controllers take over its shards before the
-// workers' leases expire.
+// workers' leases expire. It is within the bounds of the state service.
 func (s *Settings) ControllerLeaseTTL() time.Duration {
-	return max(min(2*s.HeartbeatInterval(), s.WorkerLease()/3), minControllerLease)
+	return max(min(2*s.HeartbeatInterval(), s.WorkerLease()/3, maxControllerLease), minControllerLease)
 }
 
 // LeadershipGracePeriod returns how long a leader that can't reach the state service may answer
