store: a watch waits no longer than the protocol allows

What operators saw: with lease_s above 120 s no controller received changes by its watch. Each request was refused and tried again after an eighth of a controller lease; the cache followed only with the reads before decisions and queries.

Cause: a watch is asked to wait for half of a worker lease. PROTOCOL allows blockMs up to 60,000, and more is malformed.

Change: the client asks for a minute at most.

Evidence: TestWatchWaitsNoLongerThanAllowed failed before for a minute and a millisecond, and passes.

--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -91,6 +91,22 @@
 	}
 }
 
+// Guards against watch requests that the service refuses as malformed, so that a controller never
+// receives changes by a watch: for a worker lease of more than two minutes, the caller asks to wait
+// for longer than PROTOCOL allows.
+func TestWatchWaitsNoLongerThanAllowed(t *testing.T) {
+	f := newFixture(t)
+	f.service.setResponse("/changes", 200, `{"epoch":2,"log":[]}`)
+	for _, maxBlock := range []time.Duration{time.Minute, time.Minute + time.Millisecond, 1<<63 - 1} {
+		if _, revision, err := f.client.Changes(context.Background(), "c/", 1, maxBlock); err != nil || revision != 2 {
+			t.Errorf("watch for %v: got revision %d, error %v; want revision 2", maxBlock, revision, err)
+		}
+		if d := cmp.Diff([]string{"GET /changes?prefix=c%2F&since=1&blockMs=60000"}, f.service.takeRequests()); d != "" {
+			t.Errorf("requests differ (-want +got):\n%s", d)
+		}
+	}
+}
+
 // Leases are granted, renewed and revoked. The renewal of a lease that has ended returns
 // ErrLeaseEnded.
 func TestLeaseRequests(t *testing.T) {
--- a/internal/store/keys.go
+++ b/internal/store/keys.go
@@ -14,6 +14,10 @@
 // pageSize is the number of keys requested per page of a list.
 const pageSize = 1000
 
+// maxWatchBlock is the longest time for which the service delays the response to a watch request
+// (PROTOCOL). It refuses a request for more as malformed.
+const maxWatchBlock = 60 * time.Second
+
 // noLeaseText is the service's error text for a transaction that names a lease that has ended.
 const noLeaseText = "no such lease"
 
@@ -66,10 +70,11 @@
 	return page, decodeResponse(m, &page)
 }
 
-// Changes waits up to maxBlock for changes after a revision to keys with a prefix. It returns
+// Changes waits up to maxBlock, and at most maxWatchBlock, for changes after a revision to keys with a prefix. It returns
 // them and the revision up to which they are complete. After ErrChangesUnavailable the caller must
 // list the keys instead.
 func (c *Client) Changes(ctx context.Context, prefix string, since uint64, maxBlock time.Duration) ([]Change, uint64, error) {
+	maxBlock = min(maxBlock, maxWatchBlock)
 	target := fmt.Sprintf("/changes?prefix=%s&since=%d&blockMs=%d", url.QueryEscape(prefix), since, maxBlock.Milliseconds())
 	m, err := c.send(ctx, request{method: "GET", target: target, priority: PriorityDecision, maxBlock: maxBlock})
 	switch {
