Machines are registered where values may have more than 48 KiB

What operators saw: with value_kb above 48 no machine was ever registered, and no job ran.

Cause: pageEdits opens a page only if a whole value still fits into the 48 KiB that it allows for pages, so for larger values not even the first. Above about 30 KiB a placement, which writes a record of a job and one of a shard, could also exceed the 64 KiB of a transaction.

Change: the first page is always opened. New records have at most 24 KiB; larger ones of an earlier version are split like those above an announced limit.

The figures of 24 and 30 KiB are calculated, not measured.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -24,8 +24,11 @@
 const (
 	// maxValueKB is the size of a whole transaction (PROTOCOL), so no value can be larger.
 	maxValueKB = 64
-	maxTxnOps  = 1 << 20
-	maxSockets = 1 << 20
+	// maxRecordKB is the largest size of a new record: a placement writes one of a job and one of a
+	// shard in the same transaction.
+	maxRecordKB = 24
+	maxTxnOps   = 1 << 20
+	maxSockets  = 1 << 20
 )
 
 const (
@@ -51,6 +54,7 @@
 
 // LowestLimits returns the lower of the current and the announced limits of the state service.
 // New records and transactions stay within them, so that they remain valid when the limits change.
+// The size of a value is at most maxRecordKB.
 func (s *Settings) LowestLimits() StateLimits {
 	lowest := s.Facts.State.StateLimits
 	if next := s.Facts.State.NextLimits; next != nil {
@@ -59,6 +63,7 @@
 		lowest.ValueKB = min(lowest.ValueKB, next.ValueKB)
 		lowest.TxnOps = min(lowest.TxnOps, next.TxnOps)
 	}
+	lowest.ValueKB = min(lowest.ValueKB, maxRecordKB)
 	return lowest
 }
 
--- a/internal/config/numbers_test.go
+++ b/internal/config/numbers_test.go
@@ -122,6 +122,9 @@
 			t.Fatalf("%s: got %d, want above 0 and no overflow", name, count)
 		}
 	}
+	if limits.ValueKB > maxRecordKB {
+		t.Fatalf("records may have %g KiB, want at most %d", limits.ValueKB, maxRecordKB)
+	}
 	for i, team := range s.Facts.Teams {
 		if sum := fmt.Sprint(8 * (team.MaxCPUs + team.GuaranteedCPUs + team.MaxGPUs + team.GuaranteedGPUs)); strings.Contains(sum, "Inf") {
 			t.Fatalf("amounts of team %d add up to %s, want a finite sum", i, sum)
--- a/internal/controller/huge_amounts_test.go
+++ b/internal/controller/huge_amounts_test.go
@@ -110,3 +110,18 @@
 	id := s.submitArray(4, 5*time.Second, nil)
 	s.runUntil(t, 200, "job is done", s.isDone(id))
 }
+
+// Guards against deployments without machines: for values of more than 48 KiB, the transaction that
+// registers a machine counted as full before it had any page.
+func TestMachinesAreRegisteredWithLargeValues(t *testing.T) {
+	for _, valueKB := range []float64{48, 64} {
+		s := newTestCluster()
+		s.setStateLimits(valueKB, 20, valueKB, 20)
+		for i := range s.nodes {
+			s.startNode(i)
+		}
+		s.runFor(10)
+		id := s.submitArray(4, 5*time.Second, nil)
+		s.runUntil(t, 200, "job is done", s.isDone(id))
+	}
+}
--- a/internal/decisions/machine_pages.go
+++ b/internal/decisions/machine_pages.go
@@ -19,7 +19,7 @@
 	transaction    *statecache.Transaction
 	pages          map[string]shard.MachinePage // changed pages by ID
 	bytes          int                          // total size of the pages, each as it was when it was added
-	maxBytesToOpen int                          // no further page is opened if bytes is larger
+	maxBytesToOpen int                          // no second or further page is opened if bytes is larger
 }
 
 // newPageEdits returns a pageEdits without edits.
@@ -38,7 +38,7 @@
 	if page, ok = e.pages[e.schema.PageIDFor(host)]; ok {
 		return page, true
 	}
-	if len(e.pages) >= e.schema.MaxWrites() || e.bytes > e.maxBytesToOpen {
+	if len(e.pages) >= e.schema.MaxWrites() || len(e.pages) > 0 && e.bytes > e.maxBytesToOpen {
 		return nil, false
 	}
 	_, page = e.schema.EditPage(e.transaction, host)
