The backoff of a job is defined for any recorded number of failures

What would be seen: each controller that plans a job ends ("negative shift amount") once the numbers of failures in its records are below zero and have risen; and no backoff at all for heartbeat intervals above 2.5 hours. No record of this service has such a number; it would take a faulty write.

Cause: the delay is the heartbeat interval shifted by the number of failures less one. Go panics for a negative shift, and a large one overflows the duration.

Change: numbers below one count as none; the delay is scaled by numeric.

Evidence: TestBackoffOfExtremeNumbers failed before with "panic: runtime error: negative shift amount", and passes.

--- a/internal/scheduler/backoff.go
+++ b/internal/scheduler/backoff.go
@@ -1,8 +1,10 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
+	"violetturn/internal/numeric"
 	"violetturn/internal/statecache"
 )
 
@@ -24,13 +26,13 @@
 // waits before its next attempt. The delay starts at initialDelay, doubles with each failure and is
 // at most maxDelay.
 func (t backoffTable) isWaiting(uid string, failures int, now time.Time, initialDelay, maxDelay time.Duration) bool {
-	if failures == 0 {
+	if failures <= 0 {
 		delete(t, uid)
 		return false
 	}
 	entry := t[uid]
 	if failures > entry.failures {
-		delay := initialDelay << min(failures-1, maxBackoffDoublings)
+		delay := numeric.ScaledDuration(initialDelay, math.Exp2(float64(min(failures-1, maxBackoffDoublings))))
 		entry.retryAt = now.Add(min(delay, maxDelay))
 	}
 	entry.failures = failures
--- a/internal/scheduler/backoff_test.go
+++ b/internal/scheduler/backoff_test.go
@@ -1,10 +1,12 @@
 package scheduler
 
 import (
+	"math"
 	"testing"
 	"time"
 
 	"violetturn/internal/job"
+	"violetturn/internal/numeric"
 	"violetturn/internal/statecache"
 )
 
@@ -58,3 +60,21 @@
 		t.Errorf("table after removeExcept is %v, want only job b", table)
 	}
 }
+
+// Guards against a panic by a negative shift, for numbers of failures below zero, and against a delay
+// that overflows, so that there is none.
+func TestBackoffOfExtremeNumbers(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	table := backoffTable{}
+	for _, failures := range []int{math.MinInt, -5, -3, 0, -1} {
+		if table.isWaiting("run-1", failures, now, time.Second, time.Minute) {
+			t.Errorf("job with %d failures waits, want it not to", failures)
+		}
+	}
+	for _, failures := range []int{1, 11, math.MaxInt} {
+		const longest = numeric.MaxAmount * time.Second
+		if table = (backoffTable{}); !table.isWaiting("run-1", failures, now, longest, longest) {
+			t.Errorf("job with %d failures does not wait, want it to", failures)
+		}
+	}
+}
