Job records with numbers that no job can have are refused or bounded

What would be seen: controllers that run out of memory or time over one record: a number of tasks of 2^62 makes PendingTasks count that far, a placement of task 2^62 makes setDone grow its bitmap to it, a placement that is null ends its reader, and times wrap around.

Cause: ParseRecord and ParseTaskRange checked only that there are tasks.

Change: a number of tasks above the protocol's, a finished range or a placement outside of a job, and the key of such a task range are errors, as other malformed records are (line "record can't be read"). Times and numbers of failures are bounded.

--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -20,6 +20,7 @@
 	"slices"
 
 	"violetturn/internal/api"
+	"violetturn/internal/numeric"
 )
 
 // Record is the main record of an unfinished job.
@@ -56,18 +57,55 @@
 	if err := json.Unmarshal(raw, &r); err != nil {
 		return nil, fmt.Errorf("decoding a job record: %w", err)
 	}
-	r.Spec.BoundAmounts() // an earlier version accepted jobs with any amounts
+	if err := r.validate(); err != nil {
+		return nil, fmt.Errorf("job record of %q: %w", r.Spec.UID, err)
+	}
+	r.boundNumbers()
+	return &r, nil
+}
+
+// validate returns an error if the record describes no tasks, or more than a job can have.
+func (r *Record) validate() error {
 	if r.RangeSize < 1 || r.Spec.Tasks < 1 {
-		return nil, fmt.Errorf("job record of %q: %w", r.Spec.UID, ErrNoTasks)
+		return ErrNoTasks
 	}
-	if r.InlineRange != nil {
-		if err := r.InlineRange.validate(); err != nil {
-			return nil, fmt.Errorf("job record of %q: %w", r.Spec.UID, err)
+	if r.RangeSize > api.MaxTasks || r.Spec.Tasks > api.MaxTasks {
+		return fmt.Errorf("%d tasks in ranges of %d: %w", r.Spec.Tasks, r.RangeSize, ErrOutOfRange)
+	}
+	for _, n := range r.FinishedRanges {
+		if n < 0 || n > r.RangeCount() {
+			return fmt.Errorf("finished range %d of %d: %w", n, r.RangeCount(), ErrOutOfRange)
 		}
 	}
-	return &r, nil
+	if r.InlineRange != nil {
+		return r.InlineRange.validate()
+	}
+	return nil
+}
+
+// maxTimeMS bounds recorded times, in milliseconds of Unix time.
+const maxTimeMS = 1000 * numeric.MaxAmount * 1000
+
+// boundNumbers bounds the numbers of a record whose tasks are valid. An earlier version accepted jobs
+// with any amounts.
+func (r *Record) boundNumbers() {
+	r.Spec.BoundAmounts()
+	r.AcceptedMS = min(max(r.AcceptedMS, 0), maxTimeMS)
+	if g := r.Gang; g != nil {
+		g.LaunchedS = boundSeconds(g.LaunchedS)
+		g.ErrorStreak, g.FailureStreak = boundStreak(g.ErrorStreak), boundStreak(g.FailureStreak)
+	}
 }
 
+// boundSeconds bounds a recorded time in seconds after the job was accepted.
+func boundSeconds(seconds int64) int64 { return min(max(seconds, 0), numeric.MaxAmount) }
+
+// boundStreak bounds a recorded number of failures, so that sums of several do not overflow.
+func boundStreak(failures int) int { return min(max(failures, 0), maxStreak) }
+
+// maxStreak is the highest number of failures in a row that is told from a higher one.
+const maxStreak = 1 << 30
+
 // Copy returns a copy of the record that can be changed independently, except for the inline task
 // range: both share it, and TaskRange.Copy copies it.
 func (r *Record) Copy() *Record {
--- a/internal/job/task_range.go
+++ b/internal/job/task_range.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"math/bits"
+
+	"violetturn/internal/api"
 )
 
 // TaskRange is the record of a range of consecutive tasks of one job. Its methods number the
@@ -29,8 +31,9 @@
 	return &t, nil
 }
 
-// validate returns an error if the bitmap of done tasks is malformed. It also initializes a nil map
-// of placements, so that entries can be added.
+// validate returns an error if the bitmap of done tasks is malformed or a placement is not one of a
+// task. It also bounds the other numbers and initializes a nil map of placements, so that entries can
+// be added.
 func (t *TaskRange) validate() error {
 	if _, err := base64.RawStdEncoding.DecodeString(t.DoneBits); err != nil {
 		return fmt.Errorf("decoding the done tasks: %w", err)
@@ -38,6 +41,13 @@
 	if t.Placements == nil {
 		t.Placements = map[int]*Placement{}
 	}
+	for i, placement := range t.Placements {
+		if i < 0 || i >= api.MaxTasks || placement == nil {
+			return fmt.Errorf("placement of task %d: %w", i, ErrOutOfRange)
+		}
+		placement.PlacedS = boundSeconds(placement.PlacedS)
+	}
+	t.ErrorStreak = boundStreak(t.ErrorStreak)
 	return nil
 }
 
--- a/internal/statecache/keys.go
+++ b/internal/statecache/keys.go
@@ -1,9 +1,13 @@
 package statecache
 
 import (
+	"fmt"
 	"net/url"
 	"strconv"
 	"strings"
+
+	"violetturn/internal/api"
+	"violetturn/internal/job"
 )
 
 // LivePrefix is the prefix of all keys that every controller caches. A finished job leaves one
@@ -58,6 +62,9 @@
 		index = rest
 	}
 	key.Index, err = strconv.Atoi(index)
+	if err == nil && (key.Generation < 0 || key.Index < 0 || key.Index >= api.MaxTasks) {
+		err = fmt.Errorf("task range %q: %w", id, job.ErrOutOfRange)
+	}
 	return uid, key, err
 }
 
