frontend: the numbers in a peer's reply are bounded

What would be seen: a response with status, which is no HTTP, or one that asks a user to wait for 136 years.

Cause: ServeOrForward passed the status and the retry time of a peer's reply on as they were; both are any uint32.

Change: a status outside of 200 to 599 asks the user to retry, and a retry time is at most the 30 s of the protocol.

--- a/internal/frontend/peers.go
+++ b/internal/frontend/peers.go
@@ -36,10 +36,27 @@
 	}
 	request.From = f.node.Settings.HostName
 	reply, err := f.services.Peers.Call(ctx, addr, request, forwardTimeout)
-	if err != nil || reply.GetStatus() == 0 {
+	if err != nil {
 		return respond.Busy // the peer may have executed the request; the user retries
 	}
-	return transport.Response{Status: int(reply.GetStatus()), Body: reply.GetBody(), RetryAfter: int(reply.GetRetryAfter())}
+	return responseOfReply(reply)
+}
+
+// Bounds of the numbers in a reply of a peer.
+const (
+	minReplyStatus = 200
+	maxReplyStatus = 599
+	maxRetryAfter  = 30 // seconds; the longest that users wait (PROTOCOL)
+)
+
+// responseOfReply returns the response for a user that a peer's reply contains. A reply without a
+// status that a response can have asks the user to retry.
+func responseOfReply(reply *peer.Reply) transport.Response {
+	if reply.GetStatus() < minReplyStatus || reply.GetStatus() > maxReplyStatus {
+		return respond.Busy
+	}
+	retryAfter := min(reply.GetRetryAfter(), maxRetryAfter)
+	return transport.Response{Status: int(reply.GetStatus()), Body: reply.GetBody(), RetryAfter: int(retryAfter)}
 }
 
 // ServeLocally serves a user's request on this controller.
