recovery: a reservation ends for any recorded number of tasks

Cause: Reserve places the recorded number of waiting production tasks one by one. Any number of tasks that need nothing fits, so that a huge number would occupy the planner for ever.

Change: at most 1,048,576 tasks of one size get a reservation.

Evidence: TestReserveEndsForAnyNumberOfTasks did not end before within the time limit of the test, and passes.

--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -142,6 +142,10 @@
 	return reserved
 }
 
+// maxReservedTasks bounds the tasks of one size with a reservation. Any number of tasks that need
+// nothing fits on a machine.
+const maxReservedTasks = 1 << 20
+
 // reserve is Reserve for one zone. It uses the first hosts of the zone, up to ReservableShare.
 func (z *Zone) reserve(name string, hosts []*sched.Host) (reserved int) {
 	if len(z.WaitingProduction) == 0 {
@@ -157,7 +161,7 @@
 	for _, demand := range z.WaitingProduction {
 		request := sched.TaskRequest{Need: demand.Need, AllowSpot: demand.Spot, Service: true}
 		ranking := sched.NewRanking(nil, reservable, &request)
-		for range demand.Tasks {
+		for range min(demand.Tasks, maxReservedTasks) {
 			h := ranking.Best(nil)
 			if h == nil {
 				break
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -107,3 +108,15 @@
 		t.Error("nil Admission restricts work, want no restriction")
 	}
 }
+
+// Guards against a plan that never ends, for a recorded number of production tasks that need nothing.
+func TestReserveEndsForAnyNumberOfTasks(t *testing.T) {
+	for _, tasks := range []int{math.MinInt, 0, math.MaxInt} {
+		zone := &Zone{ReservableShare: 1, WaitingProduction: []zonehealth.Demand{{Tasks: tasks}}}
+		admission := NewAdmission(map[string]*Zone{"x": zone}, []sched.Resources{{}}, []sched.Resources{machine})
+		hosts := []*sched.Host{{Name: "i-1", Zone: "x", Capacity: machine, Free: machine}}
+		if reserved := admission.Reserve(hosts); reserved != min(max(tasks, 0), maxReservedTasks) {
+			t.Errorf("%d tasks: got %d with a reservation, want at most %d", tasks, reserved, maxReservedTasks)
+		}
+	}
+}
