The age of a machine is calculated in one place

Four places subtracted the time of registration, two of them in integers that wrap around for a recorded time far off. Machine.Age has the result in a duration, which saturates.

--- a/internal/agent/cloud_listing.go
+++ b/internal/agent/cloud_listing.go
@@ -119,7 +119,7 @@
 		if machine == nil || c.isListed(host) {
 			continue
 		}
-		if readStartedAt.Sub(time.UnixMilli(machine.RegisteredMS)) > mismatchDelay+c.registry.node.Settings.HeartbeatInterval() {
+		if machine.Age(readStartedAt) > mismatchDelay+c.registry.node.Settings.HeartbeatInterval() {
 			agent.MissingFromLists++
 		}
 	}
--- a/internal/agent/machine_state.go
+++ b/internal/agent/machine_state.go
@@ -59,6 +59,5 @@
 		return false
 	}
 	_, machineType := r.catalog.MachineCapacity(machine.MachineType)
-	ageS := float64(now.UnixMilli()-machine.RegisteredMS) / 1000
-	return machineType == nil || ageS <= 2*machineType.BootS || r.listing.IsStarting(host)
+	return machineType == nil || machine.Age(now).Seconds() <= 2*machineType.BootS || r.listing.IsStarting(host)
 }
--- a/internal/autoscaler/scale_in_review.go
+++ b/internal/autoscaler/scale_in_review.go
@@ -68,7 +68,7 @@
 // lost under an earlier leader does not get a second boot time.
 func (r *ScaleInReview) evaluateUnfenced(host string, machine *shard.Machine, machineType *cloud.MachineType, worker *agent.Agent) {
 	settings := r.autoscaler.node.Settings
-	age := r.now.Sub(time.UnixMilli(machine.RegisteredMS))
+	age := machine.Age(r.now)
 	termAge := r.now.Sub(worker.CreatedAt)
 	if age > 4*bootDuration(machineType)+settings.WorkerLease() && termAge > 2*settings.WorkerLeaseBound() {
 		r.cordon(host, worker, "never came up, or silent since before the shard was acquired")
--- a/internal/capacity/calculator.go
+++ b/internal/capacity/calculator.go
@@ -180,7 +180,7 @@
 		if worker := c.agents.Agent(host); worker != nil && worker.Fenced() {
 			continue
 		}
-		if float64(now.UnixMilli()-machine.RegisteredMS)/1000 > 2*machineType.BootS {
+		if machine.Age(now).Seconds() > 2*machineType.BootS {
 			continue // overdue: it may never start
 		}
 		hosts = append(hosts, &sched.Host{
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -11,7 +11,11 @@
 //     after machines were removed from it.
 package shard
 
-import "violetturn/internal/sched"
+import (
+	"time"
+
+	"violetturn/internal/sched"
+)
 
 // LeaderRecord is the record of a shard's leader. It is attached to the leader's lease and
 // is deleted when the lease ends.
@@ -44,6 +48,9 @@
 	RegisteredMS int64  `json:"at"`          // when the machine was registered, Unix time in milliseconds
 }
 
+// Age returns how long ago the machine was registered.
+func (m *Machine) Age(now time.Time) time.Duration { return now.Sub(time.UnixMilli(m.RegisteredMS)) }
+
 // MachinePage is the record of the machines whose names differ only in their last characters, by
 // name. Machines come in groups with consecutive names, so that a group is recorded with few writes.
 type MachinePage map[string]*Machine
