Work that waits need not wait for a save that takes longer than it may wait

What users would see: production work that preempts a task waits for hours or years where the owner of that task gave a long stowS, up to 1e9 s. The machine is held until the task has saved.

Cause: a stopped task that saves got twice its stowS as grace period, however long.

Change: a task whose save takes more than four minutes, the time within which even the largest job has to start, is stopped at once. It loses the work since its last checkpoint, which it saves by itself every bookmarkS.

--- a/internal/controller/preemption_test.go
+++ b/internal/controller/preemption_test.go
@@ -58,3 +58,18 @@
 	s.cancel(1, idleArray)
 	s.checkRecovery(t)
 }
+
+// Guards against production work that waits for as long as a task that it preempts takes to save, if
+// that is longer than any job may wait.
+func TestProductionNeedNotWaitForLongSave(t *testing.T) {
+	for _, saveDurationS := range []float64{241, 1e6, 1e9} {
+		s := newReadyCluster()
+		idleJob := s.submitArray(2, time.Hour, func(j *api.Job) {
+			j.Priority, j.CheckpointIntervalS, j.SaveDurationS = api.Idle, 30, saveDurationS
+		})
+		s.runUntil(t, 80, "idle tasks run", func() bool { return s.runningTasks(idleJob) == 2 })
+		s.environment.Cloud.NoCapacity = true
+		productionJob := s.submitService(2, func(j *api.Job) { j.Priority = api.Production })
+		s.runUntil(t, 40, "production tasks run", func() bool { return s.runningTasks(productionJob) == 2 })
+	}
+}
--- a/internal/statecache/job.go
+++ b/internal/statecache/job.go
@@ -54,11 +54,17 @@
 	return !j.MustStop(p) && (!j.IsGang() || j.Record.Gang.MayLaunch(p.Attempt))
 }
 
-// SavesOnStop reports whether tasks of the job save their progress before they stop. The tasks of a
-// gang do so only if all of them are to be stopped, because the save fails if one is missing.
+// maxSaveSeconds is the longest save that a stopped task gets time for. The task holds its machine
+// meanwhile, and even the largest job that waits for machines has to start within four minutes.
+const maxSaveSeconds = 240
+
+// SavesOnStop reports whether tasks of the job save their progress before they stop: they can, and it
+// takes at most maxSaveSeconds. The tasks of a gang do so only if all of them are to be stopped,
+// because the save fails if one is missing.
 func (j *Job) SavesOnStop() bool {
-	gang := j.Record.Gang
-	return !j.IsCancelled() && j.Record.Spec.CheckpointIntervalS > 0 && (!j.IsGang() || gang != nil && gang.Stopping)
+	spec, gang := &j.Record.Spec, j.Record.Gang
+	canSave := spec.CheckpointIntervalS > 0 && spec.SaveDurationS <= maxSaveSeconds
+	return !j.IsCancelled() && canSave && (!j.IsGang() || gang != nil && gang.Stopping)
 }
 
 // PlacedAtMS returns when a task was placed, as Unix time in milliseconds.
