--- a/internal/simulator/deployment.go
+++ b/internal/simulator/deployment.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"violetturn/internal/config"
+	"violetturn/internal/numeric"
 )
 
 // listLag is how old the machine list that the simulated cloud returns is.
@@ -135,7 +136,7 @@
 	env.MachineType = d.MachineType
 	env.MachineType.BootTime, env.MachineType.FetchTime = d.BootTime, d.FetchTime
 	env.Zones = []string{"x", "y", "z"}
-	env.WorkerLease, env.CancelTimeout = seconds(d.LeaseS), seconds(d.CancelTimeoutS)
+	env.WorkerLease, env.CancelTimeout = numeric.Duration(d.LeaseS), numeric.Duration(d.CancelTimeoutS)
 	env.ListLag = listLag
 	return env
 }
--- a/internal/simulator/environment.go
+++ b/internal/simulator/environment.go
@@ -91,6 +91,3 @@
 		e.OnTaskDone(j.Spec.UID)
 	}
 }
-
-// seconds returns a number of seconds as a duration.
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/simulator/gangs.go
+++ b/internal/simulator/gangs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"violetturn/internal/api"
+	"violetturn/internal/numeric"
 )
 
 // gangProgress is the progress of a gang, a job whose tasks start together.
@@ -144,7 +145,7 @@
 	sinceRequest := e.Now.Sub(attempt.stopRequestedAt)
 	allRequested := len(attempt.stopRequestedTasks) == j.Spec.Tasks
 	switch {
-	case allRequested && sinceRequest >= seconds(j.Spec.SaveDurationS):
+	case allRequested && sinceRequest >= numeric.Duration(j.Spec.SaveDurationS):
 		j.gang.saved = max(j.gang.saved, progress)
 		attempt.end(tasks, api.CauseStopped, true)
 	case !allRequested && sinceRequest >= e.PeerLossTimeout:
@@ -204,7 +205,7 @@
 	if j.Spec.CheckpointIntervalS <= 0 {
 		return j.gang.saved
 	}
-	interval := seconds(j.Spec.CheckpointIntervalS)
+	interval := max(numeric.Duration(j.Spec.CheckpointIntervalS), 1)
 	return max(j.gang.saved, progress/interval*interval)
 }
 
--- a/internal/simulator/http_state.go
+++ b/internal/simulator/http_state.go
@@ -20,6 +20,13 @@
 	rowOverheadBytes = 32 // estimated size of a row without its key and value
 )
 
+// Limits of PROTOCOL on the numbers in requests, in milliseconds.
+const (
+	maxBlockMS = 60_000
+	minLeaseMS = 100
+	maxLeaseMS = 600_000
+)
+
 // revisionResponse is the body of a response with only the revision.
 type revisionResponse struct {
 	Revision uint64 `json:"epoch"`
@@ -121,6 +128,10 @@
 func (s *Server) watchChanges(w http.ResponseWriter, r *http.Request) {
 	since, _ := strconv.ParseUint(r.FormValue("since"), 10, 64)
 	blockMS, _ := strconv.Atoi(r.FormValue("blockMs"))
+	if blockMS < 0 || blockMS > maxBlockMS {
+		writeJSON(w, http.StatusBadRequest, errorResponse{"blockMs out of range"})
+		return
+	}
 	timeout := time.NewTimer(time.Duration(blockMS) * time.Millisecond)
 	defer timeout.Stop()
 	for waiting := blockMS > 0; ; {
@@ -185,6 +196,10 @@
 	if !readJSON(w, r, &request) {
 		return
 	}
+	if request.TTLMS < minLeaseMS || request.TTLMS > maxLeaseMS {
+		writeJSON(w, http.StatusBadRequest, errorResponse{"ttlMs out of range"})
+		return
+	}
 	s.mu.Lock()
 	leaseID := s.env.Store.grantLease(time.Duration(request.TTLMS) * time.Millisecond)
 	s.mu.Unlock()
--- a/internal/simulator/users.go
+++ b/internal/simulator/users.go
@@ -60,6 +60,7 @@
 	EstimatedRunS       float64      `json:"guessS"`
 	CheckpointIntervalS float64      `json:"bookmarkS"`
 	SaveDurationS       float64      `json:"stowS"`
+	DeadlineS           *float64     `json:"dueS,omitempty"`
 }
 
 // Submission returns the body of a request that submits a job.
@@ -83,5 +84,6 @@
 		EstimatedRunS:       j.EstimatedRunS,
 		CheckpointIntervalS: j.CheckpointIntervalS,
 		SaveDurationS:       j.SaveDurationS,
+		DeadlineS:           j.DeadlineS,
 	})
 }
--- a/internal/simulator/worker_commands.go
+++ b/internal/simulator/worker_commands.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"violetturn/internal/api"
+	"violetturn/internal/numeric"
 )
 
 // execute carries out commands. It ignores commands that do not apply to the current state of their
@@ -36,7 +37,7 @@
 		return
 	}
 	if t.phase == api.TaskRunning && spec.CheckpointIntervalS > 0 && graceS != nil && *graceS >= spec.SaveDurationS {
-		t.phase, t.saveUntil = api.TaskSaving, w.env.Now.Add(seconds(spec.SaveDurationS))
+		t.phase, t.saveUntil = api.TaskSaving, w.env.Now.Add(numeric.Duration(spec.SaveDurationS))
 	} else if t.phase != api.TaskSaving || graceS == nil || *graceS == 0 {
 		t.end(api.CauseStopped)
 	}
