A team's limit holds for tasks that need less than a rounding step

What users would see: a team above its limit. Recorded usage was rounded to the nearest millionth after each placement, so that any number of tasks of less than half a millionth counted as nothing, and each shard could use a millionth more than it holds.

Cause: Rounded for usage, and a tolerance of a whole step.

Change: usage and shares are rounded up, apart from the rounding errors of sums; the tolerance is half a step. Amounts of up to six decimals are recorded as before.

--- a/internal/capacity/claims.go
+++ b/internal/capacity/claims.go
@@ -159,7 +159,7 @@
 	}
 	teamName := p.job.Record.Spec.Team
 	if team, _ := p.claims.accounting.node.Settings.Team(teamName); team.HasLimit() {
-		p.claim.quotaUse[teamName] = p.quotaUse.Rounded()
+		p.claim.quotaUse[teamName] = p.quotaUse.RoundedUp()
 		if p.grant.growsShare {
 			p.claim.changedShares[teamName] = p.grant.share
 			p.claims.writes++
--- a/internal/capacity/quota.go
+++ b/internal/capacity/quota.go
@@ -96,7 +96,7 @@
 	}
 	for _, team := range a.node.Settings.Facts.Teams {
 		if used, ok := sum[team.Name]; ok && team.HasLimit() {
-			use[team.Name] = used.Rounded()
+			use[team.Name] = used.RoundedUp()
 		}
 	}
 	return use
@@ -116,7 +116,7 @@
 				}
 				records[team] = record
 			}
-			record.Held[shardName] = share.Rounded()
+			record.Held[shardName] = share.RoundedUp()
 		}
 	}
 	for team, record := range records {
--- a/internal/controller/huge_amounts_test.go
+++ b/internal/controller/huge_amounts_test.go
@@ -125,3 +125,18 @@
 		s.runUntil(t, 200, "job is done", s.isDone(id))
 	}
 }
+
+// Guards against a team that uses more than its limit by tasks which need so little that the usage of
+// each was recorded as zero.
+func TestTinyTasksStayWithinTheirTeamsLimit(t *testing.T) {
+	s := newTestCluster()
+	s.environment.TeamGPULimits["a"] = math.SmallestNonzeroFloat64
+	for i := range s.nodes {
+		s.startNode(i)
+	}
+	s.runFor(10)
+	for _, tasks := range []int{4, 10} {
+		s.submitArray(tasks, time.Minute, func(j *api.Job) { j.Team, j.GPUs, j.CPUs = "a", 1e-7, 0.1 })
+		s.runRounds(t, 60)
+	}
+}
--- a/internal/sched/amounts_test.go
+++ b/internal/sched/amounts_test.go
@@ -30,6 +30,23 @@
 	})
 }
 
+// Guards against usage that is lost when it is recorded: that of any number of tasks which need less
+// than half a rounding step each was zero. Sums of decimal fractions keep their steps.
+func TestRecordedUsageIsNotBelowTheUsage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		amount := drawAmount(t, "amount")
+		got := Resources{GPUs: amount}.RoundedUp().GPUs
+		if got < amount-1e-9-amount*1e-12 || got > amount+1/roundingSteps+amount*1e-12 {
+			t.Fatalf("%g is rounded up to %g", amount, got)
+		}
+	})
+	for sum, want := range map[float64]float64{0.1 + 0.2: 0.3, 3 * 1.1: 3.3, 1e-7: 1e-6, 1. / 3: 0.333334, 8: 8, 0: 0} {
+		if got := (Resources{GPUs: sum}).RoundedUp().GPUs; got != want {
+			t.Errorf("%v is rounded up to %v, want %v", sum, got, want)
+		}
+	}
+}
+
 // Recorded amounts of any size are read as numbers whose sums are finite.
 func TestRecordedAmountsAreBounded(t *testing.T) {
 	var r Resources
--- a/internal/sched/quota.go
+++ b/internal/sched/quota.go
@@ -59,7 +59,11 @@
 	return heldByOthers+held > limit*nearLimitShare || held-used > limit*maxUnusedSteps/quotaSteps
 }
 
+// heldTolerance is the amount by which the usage may exceed a held share. It is less than a rounding
+// step, since otherwise each shard could use a step more than it holds.
+const heldTolerance = epsilon / 2
+
 // WithinQuota reports whether the usage is within the held share for each resource that has a limit.
 func WithinQuota(limit, held, used Resources) bool {
-	return (limit.CPUs <= 0 || used.CPUs <= held.CPUs+epsilon) && (limit.GPUs <= 0 || used.GPUs <= held.GPUs+epsilon)
+	return (limit.CPUs <= 0 || used.CPUs <= held.CPUs+heldTolerance) && (limit.GPUs <= 0 || used.GPUs <= held.GPUs+heldTolerance)
 }
--- a/internal/sched/quota_test.go
+++ b/internal/sched/quota_test.go
@@ -55,10 +55,10 @@
 		used := Resources{CPUs: drawAmount(t, "CPUs"), GPUs: drawAmount(t, "GPUs")}
 		heldByOthers := Resources{CPUs: limit.CPUs / 4}
 		share, ok := QuotaShare(limit, heldByOthers, used)
-		if recorded := share.Rounded(); ok && !WithinQuota(limit, recorded, used) {
+		if recorded := share.RoundedUp(); ok && !WithinQuota(limit, recorded, used.RoundedUp()) {
 			t.Fatalf("share of the limit %v is %v, want it to cover the usage %v", limit, recorded, used)
 		}
-		if _, err := json.Marshal(share.Rounded()); err != nil {
+		if _, err := json.Marshal(share.RoundedUp()); err != nil {
 			t.Fatalf("share of the limit %v for the usage %v can't be recorded: %v", limit, used, err)
 		}
 	})
--- a/internal/sched/resources.go
+++ b/internal/sched/resources.go
@@ -48,9 +48,18 @@
 	return Resources{round(r.CPUs), round(r.GPUs), round(r.MemGB)}
 }
 
+// RoundedUp is like Rounded, but returns the next higher step, so that the usage of many tasks that
+// need less than a step each is not lost. Amounts within the rounding errors of sums of a step are
+// rounded to it.
+func (r Resources) RoundedUp() Resources {
+	return Resources{roundUp(r.CPUs), roundUp(r.GPUs), roundUp(r.MemGB)}
+}
+
 const (
 	// roundingSteps is the number of rounding steps in an amount of 1.
 	roundingSteps = 1e6
+	// sumErrorSteps is the rounding error of a sum, in rounding steps.
+	sumErrorSteps = 1e-3
 	// maxRounded is the amount from which the digits of a float64 are as coarse as a rounding step.
 	maxRounded = numeric.MaxInt / roundingSteps
 )
@@ -62,6 +71,13 @@
 	return float64(int64(amount*roundingSteps+0.5)) / roundingSteps
 }
 
+func roundUp(amount float64) float64 {
+	if !(math.Abs(amount) < maxRounded) {
+		return amount
+	}
+	return math.Ceil(amount*roundingSteps-sumErrorSteps) / roundingSteps
+}
+
 // maxRecorded bounds the amounts that are read from records, which may be sums over many tasks.
 const maxRecorded = 1e6 * numeric.MaxAmount
 
