Generated numbers: an error in the controllers' logs fails the test too

The test drew the save duration of a saving job too seldom: with the bounds of submissions and the limit of saves taken out, its 100 inputs passed. It now draws each time and size of every second job, and looks for "can't be encoded" and "can't be read" in the logs.

--- a/internal/config/fuzz_test.go
+++ b/internal/config/fuzz_test.go
@@ -76,9 +76,9 @@
 			s.ControllerLeaseTTL(), minControllerLease, s.MaxStaleness())
 	}
 	grace := s.LeadershipGracePeriod()
-	if total := s.ControllerLeaseTTL() + grace + s.WorkerLeaseBound(); grace > 0 && total > numeric.Duration(s.Facts.Workers.CancelTimeoutS) {
-		t.Fatalf("a cancellation that a partitioned leader can't read takes %v, want at most %v", total,
-			numeric.Duration(s.Facts.Workers.CancelTimeoutS))
+	total, cancelTimeout := s.ControllerLeaseTTL()+grace+s.WorkerLeaseBound(), numeric.Duration(s.Facts.Workers.CancelTimeoutS)
+	if grace > 0 && total > cancelTimeout {
+		t.Fatalf("a cancellation that a partitioned leader can't read takes %v, want at most %v", total, cancelTimeout)
 	}
 	if grace < 0 || s.DecisionInterval() < 0 || s.DecisionInterval() > s.HeartbeatInterval() {
 		t.Fatalf("grace period is %v, want at least 0; decision interval is %v, want 0 to %v",
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -75,7 +75,7 @@
 	numeric.Amounts(&w.HeartbeatIntervalS, &w.LeaseS, &w.CancelTimeoutS, &w.GangGatherTimeoutS, &w.GangPeerTimeoutS)
 	numeric.Amounts(&f.Cloud.RPS, &f.Cloud.ListLagS, &f.Limits.Cores, &f.Limits.MemoryMB)
 	f.Limits.MaxSockets = min(f.Limits.MaxSockets, maxSockets)
-	f.State.StateLimits.bound()
+	f.State.bound()
 	if f.State.NextLimits != nil {
 		f.State.NextLimits.bound()
 	}
--- a/internal/controller/generated_numbers_test.go
+++ b/internal/controller/generated_numbers_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"math"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -20,31 +23,33 @@
 	"violetturn/internal/statecache"
 )
 
-// extremeAmounts are valid amounts at the ends of their range, as a message has them.
+// extremeAmounts are valid amounts at the ends of their range, as a message has them. The first ones are
+// drawn most often.
 var extremeAmounts = []string{
-	"0", "5e-324", "1e-300", "1e-7", "1", "1e9", "1000000001", "9.2e9", "9.3e12", "9.3e18", "1e20", "1e300", "1.7e308",
+	"1.7e308", "5e-324", "1e300", "0", "9.3e18", "9.2e9", "1000000001", "1e9", "9.3e12", "1e20", "1e-7", "1e-300", "1",
 }
 
 // malformedAmounts are no valid amounts.
 var malformedAmounts = []string{"-5e-324", "-1", "-1.7e308", "1e309", "1e999999", `"1"`, "[]", "null"}
 
-// amountsOfJob are the fields of a submission that are amounts.
-var amountsOfJob = []string{"cpus", "gpus", "memGb", "sizeGb", "guessS", "bookmarkS", "stowS", "dueS"}
-
-// unplacedAmountsOfJob are those of them that the simulated machines do not check.
-var unplacedAmountsOfJob = []string{"memGb", "sizeGb", "guessS", "bookmarkS", "stowS", "dueS"}
+// Fields of a submission that are amounts: what a task takes of its machine, and others.
+var (
+	resourcesOfJob    = []string{"memGb", "cpus", "gpus"}
+	otherAmountsOfJob = []string{"stowS", "sizeGb", "guessS", "bookmarkS", "dueS"}
+)
 
 // No number that a user, a worker or the cloud sends, or that an earlier version has recorded, ends a
 // controller or breaks a rule, and an ordinary job is served afterwards.
 func TestExtremeNumbersEndNoController(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := numberedCluster{newTestCluster()}
+		var errorLog strings.Builder
+		s.log = slog.New(slog.NewTextHandler(&errorLog, &slog.HandlerOptions{Level: slog.LevelError}))
 		s.drawEnvironment(t)
 		s.runFor(10)
 		for range rapid.IntRange(3, 8).Draw(t, "actions") {
 			rapid.SampledFrom([]func(*rapid.T){
-				s.submitNumbers, s.submitNumbers, s.submitNumbers, s.recordNumbers, s.sendNotices, s.sendForgedHeartbeat, s.cancelOne,
-				s.restartOne,
+				s.submitNumbers, s.sendNotices, s.submitNumbers, s.recordNumbers, s.restartOne, s.cancelOne, s.sendForgedHeartbeat,
 			}).Draw(t, "action")(t)
 			for range rapid.IntRange(1, 30).Draw(t, "rounds") {
 				s.runRound()
@@ -52,6 +57,9 @@
 			}
 		}
 		s.checkOrdinaryJobIsServed(t)
+		if strings.Contains(errorLog.String(), "can't be") { // encoded or read
+			t.Fatalf("controllers logged errors: %s", errorLog.String())
+		}
 	})
 }
 
@@ -80,8 +88,11 @@
 	machine.MemGB = rapid.SampledFrom([]float64{64, 9.3e12, math.MaxFloat64}).Draw(t, "machine's memory")
 	s.environment.TeamGPULimits["a"] = rapid.SampledFrom([]float64{0, math.SmallestNonzeroFloat64, 5, math.MaxFloat64}).Draw(t, "limit")
 	offered := cloud.MachineType{
-		CacheGB: number(drawAmount(t, "cache")), FetchGBPerS: number(drawAmount(t, "fetch rate")), BootS: number(drawAmount(t, "boot time")),
-		Price: number(drawAmount(t, "price")), SpotPrice: number(drawAmount(t, "spot price")),
+		CacheGB:     number(drawAmount(t, "cache")),
+		FetchGBPerS: number(drawAmount(t, "fetch rate")),
+		BootS:       number(drawAmount(t, "boot time")),
+		Price:       number(drawAmount(t, "price")),
+		SpotPrice:   number(drawAmount(t, "spot price")),
 	}
 	s.onStart = func(n *testNode) {
 		n.controller.services.Cloud = numberedCloud{n.controller.services.Cloud, offered}
@@ -118,14 +129,21 @@
 func (s numberedCluster) submitNumbers(t *rapid.T) {
 	id := fmt.Sprintf("run-%06d", len(s.jobIDs))
 	spec, runTime := drawJob(t, id, "")
+	spec.AllowSpot = spec.AllowSpot || spec.CheckpointIntervalS > 0
 	fields := map[string]json.RawMessage{}
 	_ = json.Unmarshal(simulator.Submission(spec), &fields) // the body was encoded just now and is valid
-	for range rapid.IntRange(1, 3).Draw(t, "amounts") {
-		fields[rapid.SampledFrom(amountsOfJob).Draw(t, "field")] = json.RawMessage(drawAmount(t, "amount"))
+	for _, field := range otherAmountsOfJob {
+		if rapid.Bool().Draw(t, "replaces "+field) {
+			fields[field] = json.RawMessage(drawAmount(t, field))
+		}
+	}
+	if rapid.IntRange(0, 3).Draw(t, "replaces a resource") == 3 {
+		fields[rapid.SampledFrom(resourcesOfJob).Draw(t, "resource")] = json.RawMessage(drawAmount(t, "amount"))
 	}
 	malformed := rapid.IntRange(0, 3).Draw(t, "malformed") == 3
 	if malformed {
-		field := rapid.SampledFrom(amountsOfJob[:7]).Draw(t, "malformed field") // dueS may be null
+		notNull := slices.Concat(resourcesOfJob, otherAmountsOfJob[:4])
+		field := rapid.SampledFrom(notNull).Draw(t, "malformed field")
 		fields[field] = json.RawMessage(rapid.SampledFrom(malformedAmounts).Draw(t, "malformed amount"))
 	}
 	body := api.MustMarshal(fields)
@@ -166,7 +184,8 @@
 		if len(s.environment.Store.Items(statecache.JobKey(id))) == 0 {
 			continue
 		}
-		field, amount := rapid.SampledFrom(unplacedAmountsOfJob).Draw(t, "field"), drawAmount(t, "amount")
+		field := rapid.SampledFrom(append(otherAmountsOfJob, "memGb")).Draw(t, "field") // the simulated machines check CPUs and GPUs
+		amount := drawAmount(t, "amount")
 		s.changeRecordedSpec(t, id, func(spec map[string]any) { spec[field] = json.RawMessage(amount) })
 		return
 	}
--- a/internal/job/extreme_numbers_test.go
+++ b/internal/job/extreme_numbers_test.go
@@ -37,12 +37,7 @@
 			}).Draw(t, "value")
 		} else {
 			field := rapid.SampledFrom(amountFields).Draw(t, "field")
-			numbers[field] = json.RawMessage(rapid.SampledFrom([]string{"0", "5e-324", "1e9", "1e300", "1.7e308", "-1.7e308"}).Draw(t, "value"))
-		}
-	}
-	for i, number := range numbers {
-		if raw, ok := number.(json.RawMessage); ok {
-			numbers[i] = string(raw)
+			numbers[field] = rapid.SampledFrom([]string{"0", "5e-324", "1e9", "1e300", "1.7e308", "-1.7e308"}).Draw(t, "value")
 		}
 	}
 	return fmt.Appendf(nil, recordWithNumbers, numbers...)
--- a/internal/storesync/commit.go
+++ b/internal/storesync/commit.go
@@ -17,7 +17,7 @@
 func (s *Sync) Commit(
 	ctx context.Context, purpose string, txn *statecache.Transaction, priority store.Priority,
 ) (committed bool, conflicts []string, err error) {
-	if err := txn.Err(); err != nil {
+	if err = txn.Err(); err != nil {
 		s.node.Log.Error("transaction can't be encoded", "for", purpose, "err", err)
 		return false, nil, err
 	}
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -151,7 +151,8 @@
 		}
 		wait, ok := b.Take(now, 1, 0)
 		if ok || wait < time.Hour || b.TimeToRefill(1) < time.Hour {
-			t.Errorf("rate %g: Take from an empty bucket: got %t, wait %v, time to refill %v; want false and years", rate, ok, wait, b.TimeToRefill(1))
+			t.Errorf("rate %g: Take from an empty bucket: got %t, wait %v, time to refill %v; want false and years",
+				rate, ok, wait, b.TimeToRefill(1))
 		}
 	}
 }
