A gang preempts no work that would be placed again before it

What users would see: two teams' work that never runs. A gang of idle priority within its team's guarantee stopped production tasks of a team beyond its own; as these come first in the order of placement they took the capacity back, were stopped again within a second, and so on.

Cause: between teams the guarantee decides who may preempt whom, but the order of placement goes by priority first. Other jobs are placed by the write that preempts for them; a gang is placed only when all its capacity is free.

Change: a gang preempts only tasks of jobs that come after it in the order, or beside it. For the rest it waits for free capacity, or machines are rented.

Evidence: TestGangDoesNotPreemptWorkThatReturnsBeforeIt failed before ("is done: not reached within 200 rounds" for the first of two arrays that run 20 s) and passes; the tests of gangs and preemption pass.

--- a/internal/controller/preemption_test.go
+++ b/internal/controller/preemption_test.go
@@ -73,3 +73,25 @@
 		s.runUntil(t, 40, "production tasks run", func() bool { return s.runningTasks(productionJob) == 2 })
 	}
 }
+
+// Guards against a gang within its team's guarantee and work of another team that comes before it in the
+// scheduling order but is beyond its own guarantee: the gang preempted that work again and again, which
+// took the capacity back each time, and neither ever ran.
+func TestGangDoesNotPreemptWorkThatReturnsBeforeIt(t *testing.T) {
+	s := newTestCluster()
+	s.environment.TeamGPULimits["a"] = 8 // half of it is guaranteed
+	for i := range s.nodes {
+		s.startNode(i)
+	}
+	s.runFor(10)
+	var arrays []string
+	for range 2 {
+		arrays = append(arrays, s.submitArray(2, 20*time.Second, func(j *api.Job) { j.Priority = api.Production }))
+	}
+	s.runUntil(t, 80, "arrays run", func() bool { return s.runningTasks(arrays[0])+s.runningTasks(arrays[1]) == 4 })
+	s.environment.Cloud.NoCapacity = true
+	gang := s.submitGang(t, func(j *api.Job, _ *time.Duration) { j.Team, j.Priority = "a", api.Idle })
+	for _, id := range append(arrays, gang) {
+		s.runUntil(t, 200, id+" is done", s.isDone(id))
+	}
+}
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -31,7 +31,8 @@
 	scheduler         *Scheduler
 	now               time.Time
 	hosts             []*sched.Host
-	beyondGuarantee   map[string]bool // by job: whether it exceeds its team's guarantee
+	beyondGuarantee   map[string]bool    // by job: whether it exceeds its team's guarantee
+	weights           map[string]float64 // by job: its weight in the scheduling order
 	chosen            map[*statecache.PlacedTask]bool
 	hostsByKind       map[preemptorKind]*victimHosts
 	victimHostsByHost map[*sched.Host][]*victimHost // for all kinds of preempting jobs
@@ -42,6 +43,8 @@
 	priority        int
 	withinGuarantee bool
 	team            string
+	isGang          bool
+	gangWeight      float64 // 0 if the job is no gang
 }
 
 // victimHosts contains the machines where a kind of job may stop tasks.
@@ -95,12 +98,14 @@
 		now:               now,
 		hosts:             hosts,
 		beyondGuarantee:   map[string]bool{},
+		weights:           map[string]float64{},
 		chosen:            map[*statecache.PlacedTask]bool{},
 		hostsByKind:       map[preemptorKind]*victimHosts{},
 		victimHostsByHost: map[*sched.Host][]*victimHost{},
 	}
 	for _, entry := range queue {
 		p.beyondGuarantee[entry.uid] = !entry.withinGuarantee
+		p.weights[entry.uid] = entry.weight
 	}
 	return p
 }
@@ -108,6 +113,9 @@
 // victimHostsFor returns the machines where a kind of job may stop tasks.
 func (p *preemption) victimHostsFor(entry *queueEntry) *victimHosts {
 	kind := preemptorKind{priority: entry.priority, withinGuarantee: entry.withinGuarantee, team: entry.job.Record.Spec.Team}
+	if entry.job.IsGang() {
+		kind.isGang, kind.gangWeight = true, entry.weight
+	}
 	found := p.hostsByKind[kind]
 	if found != nil {
 		return found
@@ -147,6 +155,7 @@
 		switch {
 		case job == nil, onlyVictim != nil && onlyVictim != task, job.MustStop(task.Placement), p.chosen[task]:
 		case !mayPreempt(entry, &job.Record.Spec, p.beyondGuarantee[task.UID]), p.scheduler.agents.IsCompleted(host.Name, id, task):
+		case p.wouldReturnBefore(task.UID, entry):
 		default:
 			victims.candidates = append(victims.candidates, sched.Victim{
 				Task:           id,
@@ -160,6 +169,14 @@
 	return victims
 }
 
+// wouldReturnBefore reports whether a job's tasks, if they were preempted for a gang, would be placed
+// again before the gang. A gang is placed only once all its capacity is free, so that they would take
+// the capacity back, be preempted again, and neither would ever run. Other tasks are placed by the
+// same write that preempts.
+func (p *preemption) wouldReturnBefore(victimUID string, preemptor *queueEntry) bool {
+	return preemptor.job.IsGang() && p.weights[victimUID] > preemptor.weight
+}
+
 // withImage returns the machines that have an image.
 func (v *victimHosts) withImage(image string) []*victimHost {
 	hosts, known := v.byImage[image]
