--- a/internal/sched/amounts_test.go
+++ b/internal/sched/amounts_test.go
@@ -41,7 +41,7 @@
 		}
 	})
 	for sum, want := range map[float64]float64{0.1 + 0.2: 0.3, 3 * 1.1: 3.3, 1e-7: 1e-6, 1. / 3: 0.333334, 8: 8, 0: 0} {
-		if got := (Resources{GPUs: sum}).RoundedUp().GPUs; got != want {
+		if got := (Resources{GPUs: sum}).RoundedUp().GPUs; got != want || math.Signbit(got) {
 			t.Errorf("%v is rounded up to %v, want %v", sum, got, want)
 		}
 	}
--- a/internal/sched/resources.go
+++ b/internal/sched/resources.go
@@ -75,7 +75,11 @@
 	if !(math.Abs(amount) < maxRounded) {
 		return amount
 	}
-	return math.Ceil(amount*roundingSteps-sumErrorSteps) / roundingSteps
+	steps := math.Ceil(amount*roundingSteps - sumErrorSteps)
+	if steps == 0 {
+		return 0 // not -0, which Ceil returns for a small negative number
+	}
+	return steps / roundingSteps
 }
 
 // maxRecorded bounds the amounts that are read from records, which may be sums over many tasks.
