--- a/internal/autoscaler/headroom.go
+++ b/internal/autoscaler/headroom.go
@@ -168,7 +168,7 @@
 			if job == nil || job.Record.Spec.Class != class {
 				continue
 			}
-			elapsed := now.Sub(time.UnixMilli(job.PlacedAtMS(task)))
+			elapsed := now.Sub(job.PlacedAt(task))
 			if (elapsed + boot).Seconds() > a.estimates.EstimatedRuntime(&job.Record.Spec) {
 				ending++
 			}
--- a/internal/autoscaler/scale_in_review.go
+++ b/internal/autoscaler/scale_in_review.go
@@ -165,7 +165,7 @@
 		if job == nil || job.Record.Cancelled || task.Placement.Stopping || job.Record.Spec.Kind != api.Service {
 			return false
 		}
-		if r.now.Sub(time.UnixMilli(job.PlacedAtMS(task))) < boot {
+		if r.now.Sub(job.PlacedAt(task)) < boot {
 			return false
 		}
 		used = used.Add(statecache.ResourcesOf(&job.Record.Spec))
--- a/internal/capacity/calculator.go
+++ b/internal/capacity/calculator.go
@@ -48,7 +48,9 @@
 	for id, task := range c.cache.Placements[host] {
 		job := c.cache.Jobs[task.UID]
 		if job != nil {
-			load.LastPlacedMS = max(load.LastPlacedMS, job.Record.AcceptedMS+task.Placement.PlacedS*1000)
+			if placedAt := job.PlacedAt(task); placedAt.After(load.LastPlacedAt) {
+				load.LastPlacedAt = placedAt
+			}
 		}
 		if c.agents.IsCompleted(host, id, task) {
 			continue
@@ -85,7 +87,7 @@
 // afterwards does not. For a peer's machine, whose raises are unknown here, the time of the last
 // placement on it is used instead.
 func (c *Calculator) StartDelay(host string, load *statecache.MachineLoad, now time.Time) float64 {
-	tokenChangedAt := time.UnixMilli(load.LastPlacedMS)
+	tokenChangedAt := load.LastPlacedAt
 	if worker := c.agents.Agent(host); worker != nil {
 		tokenChangedAt = worker.LastTokenChange()
 	}
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -18,6 +18,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"time"
 
 	"violetturn/internal/api"
 	"violetturn/internal/numeric"
@@ -106,6 +107,11 @@
 // maxStreak is the highest number of failures in a row that is told from a higher one.
 const maxStreak = 1 << 30
 
+// TimeAt returns the time that is recorded as a number of seconds after the job was accepted.
+func (r *Record) TimeAt(seconds int64) time.Time {
+	return time.UnixMilli(r.AcceptedMS).Add(time.Duration(seconds) * time.Second)
+}
+
 // Copy returns a copy of the record that can be changed independently, except for the inline task
 // range: both share it, and TaskRange.Copy copies it.
 func (r *Record) Copy() *Record {
--- a/internal/scheduler/gang_updates.go
+++ b/internal/scheduler/gang_updates.go
@@ -59,7 +59,7 @@
 
 // launchedAt returns the time from which the workers may start the gang's tasks.
 func (u *gangUpdate) launchedAt() time.Time {
-	return time.UnixMilli(u.job.Record.AcceptedMS).Add(time.Duration(u.gang.LaunchedS) * time.Second)
+	return u.job.Record.TimeAt(u.gang.LaunchedS)
 }
 
 // isGathering reports whether the workers may still wait for all tasks of the attempt to start: no
--- a/internal/statecache/job.go
+++ b/internal/statecache/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"time"
 
 	"violetturn/internal/api"
 	"violetturn/internal/job"
@@ -67,11 +68,8 @@
 	return !j.IsCancelled() && canSave && (!j.IsGang() || gang != nil && gang.Stopping)
 }
 
-// PlacedAtMS returns when a task was placed, as Unix time in milliseconds.
-func (j *Job) PlacedAtMS(task *PlacedTask) int64 {
-	const millisecondsPerSecond = 1000
-	return j.Record.AcceptedMS + task.Placement.PlacedS*millisecondsPerSecond
-}
+// PlacedAt returns when a task was placed.
+func (j *Job) PlacedAt(task *PlacedTask) time.Time { return j.Record.TimeAt(task.Placement.PlacedS) }
 
 // RangeRecord returns the key and version of the record that contains a task range.
 func (j *Job) RangeRecord(index int) (key string, version uint64) {
--- a/internal/statecache/placements.go
+++ b/internal/statecache/placements.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"violetturn/internal/api"
 	"violetturn/internal/job"
@@ -68,7 +69,7 @@
 	Stopping                 sched.Resources                // resources of the unfinished tasks that have to stop
 	RunningByPriority        [NumPriorities]sched.Resources // resources of the other unfinished tasks
 	ServiceTasks, OtherTasks int                            // number of unfinished tasks: of services, and of arrays and gangs
-	LastPlacedMS             int64                          // when the most recent of the tasks was placed, Unix time in milliseconds
+	LastPlacedAt             time.Time                      // when the most recent of the tasks was placed
 }
 
 // CachedLoad returns the cached load of a machine; nil if there is none.
--- a/internal/zonestate/admission.go
+++ b/internal/zonestate/admission.go
@@ -124,13 +124,13 @@
 		if machine == nil || zones[machine.Zone] == nil {
 			continue
 		}
-		stateSinceMS := z.cache.Zones[statecache.ZoneID(machine.Zone)].Record.SinceMS
+		stateSince := time.UnixMilli(z.cache.Zones[statecache.ZoneID(machine.Zone)].Record.SinceMS)
 		for _, task := range tasks {
 			job := z.cache.Jobs[task.UID]
 			if job == nil || isProduction(&job.Record.Spec) {
 				continue
 			}
-			if job.PlacedAtMS(task) >= stateSinceMS {
+			if !job.PlacedAt(task).Before(stateSince) {
 				zones[machine.Zone].UsedMachines += recovery.MachineShare(statecache.ResourcesOf(&job.Record.Spec), sizes)
 			}
 		}
--- a/internal/zonestate/slow_start.go
+++ b/internal/zonestate/slow_start.go
@@ -23,7 +23,7 @@
 	if record == nil || isProduction(&job.Record.Spec) {
 		return false
 	}
-	return job.PlacedAtMS(task) < record.LastFailedMS && !z.admittedHosts[host]
+	return job.PlacedAt(task).Before(time.UnixMilli(record.LastFailedMS)) && !z.admittedHosts[host]
 }
 
 // AdmittedMachines returns the machines of restricted zones on which tasks may restart in place, out
