Terms rise whatever number the record of the highest term has

What would be seen: workers that drop the responses of all controllers, kill their tasks when their leases end, and are replaced. A live/term that is no unsigned integer counted as term 0, so that the next leaders issued terms from 1 on, below the tokens that workers have. A term of 2^44 or more loses bits in its tokens.

Cause: the error of the decoder was ignored.

Change: such a record is logged as one that can't be read, and the cached term stays. The highest term is that of this record or of the shards' capacity records, which every acquisition writes too, so that a controller that starts anew does not begin again.

Evidence: TestTermsRiseWhateverTheTermRecordHas failed before ("shard n0 has term 1, want one a little above 3") for each of its values, and passes.

--- a/internal/controller/huge_amounts_test.go
+++ b/internal/controller/huge_amounts_test.go
@@ -68,7 +68,7 @@
 // changeRecordedSpec changes the specification in a job's main record in the state service.
 func (s *testCluster) changeRecordedSpec(t fataler, uid string, change func(spec map[string]any)) {
 	t.Helper()
-	client, key := simulator.StoreClient{Store: s.environment.Store, TxnOps: 1, MaxValueBytes: 1 << 16}, statecache.JobKey(uid)
+	client, key := simulator.StoreClient{Store: s.environment.Store}, statecache.JobKey(uid)
 	item, found, err := client.Get(context.Background(), key, 0)
 	if err != nil || !found {
 		t.Fatalf("record of %s: found %t, error %v, want the record", uid, found, err)
@@ -79,9 +79,16 @@
 	}
 	spec, _ := record["r"].(map[string]any)
 	change(spec)
-	write := store.Write{WriteKey: key, Value: api.MustMarshal(record)}
-	if result, err := client.Commit(context.Background(), &store.Txn{Writes: []store.Write{write}}, 0); err != nil || !result.Committed {
-		t.Fatalf("writing the record of %s: committed %t, error %v", uid, result.Committed, err)
+	s.writeRecord(t, key, api.MustMarshal(record))
+}
+
+// writeRecord writes a record into the state service without a controller.
+func (s *testCluster) writeRecord(t fataler, key string, value []byte) {
+	t.Helper()
+	client := simulator.StoreClient{Store: s.environment.Store, TxnOps: 1, MaxValueBytes: 1 << 16}
+	txn := &store.Txn{Writes: []store.Write{{WriteKey: key, Value: value}}}
+	if result, err := client.Commit(context.Background(), txn, 0); err != nil || !result.Committed {
+		t.Fatalf("writing %s: committed %t, error %v", key, result.Committed, err)
 	}
 }
 
@@ -140,3 +147,37 @@
 		s.runRounds(t, 60)
 	}
 }
+
+// Guards against terms that begin again at 1, below the tokens that workers have, when the record of the
+// highest term has a number that is no term.
+func TestTermsRiseWhateverTheTermRecordHas(t *testing.T) {
+	for _, value := range []string{"-1", "1.5", "1e3", "18446744073709551616", "18446744073709551615", `"7"`, "null"} {
+		t.Run(value, func(t *testing.T) {
+			s := newReadyCluster()
+			s.submitService(4, nil)
+			s.runRounds(t, 60)
+			before := s.highestLeaderTerm()
+			s.writeRecord(t, statecache.TermKey, []byte(value))
+			s.restartNodes(nil)
+			s.runRounds(t, 60)
+			for _, n := range s.nodes {
+				for shard, leader := range n.state().Cache.Leaders {
+					if leader.Record.Term <= before || leader.Record.Term > before+100 {
+						t.Errorf("%s: shard %s has term %d, want one a little above %d", n.name, shard, leader.Record.Term, before)
+					}
+				}
+			}
+			id := s.submitArray(2, time.Second, nil)
+			s.runUntil(t, 100, "a later job is done", s.isDone(id))
+		})
+	}
+}
+
+// highestLeaderTerm returns the highest term of a shard's leader.
+func (s *testCluster) highestLeaderTerm() uint64 {
+	highest := uint64(0)
+	for _, leader := range s.nodes[0].state().Cache.Leaders {
+		highest = max(highest, leader.Record.Term)
+	}
+	return highest
+}
--- a/internal/election/shards.go
+++ b/internal/election/shards.go
@@ -116,7 +116,7 @@
 	self := e.node.Settings.HostName
 	leader, hadLeader := state.Cache.Leaders[name]
 	capacity := state.Cache.Capacities[name]
-	term := state.Cache.HighestTerm + 1
+	term := state.Cache.HighestTerm() + 1
 	predecessorsStopped := havePredecessorsStopped(capacity.Record, self)
 	txn := statecache.NewTransaction()
 	txn.Require(statecache.LeaderKey(name), leader.Version)
--- a/internal/golden/keys_test.go
+++ b/internal/golden/keys_test.go
@@ -59,7 +59,7 @@
 		{"quota", recordEncodings["part.Usage"], func(c *statecache.Cache) any { return c.Quotas[statecache.QuotaID("a/b c")].Record }},
 		{"capability", recordEncodings["part.Mark"], func(c *statecache.Cache) any { return c.Capabilities["n0"].Record }},
 		{"zone", recordEncodings["zonehealth.Record"], func(c *statecache.Cache) any { return c.Zones[statecache.ZoneID("x/1")].Record }},
-		{"term", "7", func(c *statecache.Cache) any { return &c.HighestTerm }},
+		{"term", "7", func(c *statecache.Cache) any { term := c.HighestTerm(); return &term }},
 	} {
 		t.Run(tt.key, func(t *testing.T) {
 			cache := statecache.New(slog.New(slog.NewTextHandler(io.Discard, nil)))
--- a/internal/reconcile/heartbeat.go
+++ b/internal/reconcile/heartbeat.go
@@ -75,7 +75,7 @@
 // least as high as the token's, a peer has acquired the shard since or tried to, and
 // the shard is to be acquired again under a new term.
 func (r *Reconciler) handleHigherTerm(heartbeat *api.Heartbeat, leadership *leadership.Leadership) {
-	if shard.TokenTerm(heartbeat.Token) <= r.cache.HighestTerm {
+	if shard.TokenTerm(heartbeat.Token) <= r.cache.HighestTerm() {
 		leadership.RequestNewTerm()
 	}
 }
--- a/internal/shard/tokens.go
+++ b/internal/shard/tokens.go
@@ -4,6 +4,9 @@
 // term.
 const sequenceBits = 20
 
+// MaxTerm is the highest term for which there are fencing tokens.
+const MaxTerm = 1<<(64-sequenceBits) - 1
+
 // FencingToken returns the fencing token with the given sequence number within a term. Terms rise
 // globally, so every token of a later term is higher than all tokens of an earlier one. Within
 // its term, a leader increments a worker's sequence number to make the worker send a heartbeat,
--- a/internal/statecache/cache.go
+++ b/internal/statecache/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"log/slog"
 	"strings"
 	"time"
@@ -26,7 +27,7 @@
 	MachineIndex
 	PlacementIndex
 
-	HighestTerm  uint64 // the highest term ever issued
+	recordedTerm uint64 // the highest term ever issued, according to its own record
 	Capacities   map[string]Versioned[shard.CapacityRecord]
 	Leaders      map[string]Versioned[shard.LeaderRecord] // by shard
 	Nodes        map[string]Versioned[shard.NodeRecord]   // running controllers
@@ -115,8 +116,7 @@
 	}
 	c.recordVersion(key, value != nil, version)
 	if key == TermKey {
-		c.HighestTerm = 0
-		_ = json.Unmarshal(value, &c.HighestTerm) // a malformed term counts as 0
+		c.applyTerm(value)
 		return
 	}
 	if len(key) < len(jobPrefix) {
@@ -132,6 +132,31 @@
 	}
 }
 
+// applyTerm applies a change of the record of the highest term. If it has no term, the cached one stays.
+func (c *Cache) applyTerm(value json.RawMessage) {
+	var term uint64
+	if err := json.Unmarshal(value, &term); err != nil || term == 0 || term > shard.MaxTerm {
+		c.log.Error("record can't be read", "key", TermKey, "err", errNoTerm)
+		return
+	}
+	c.recordedTerm = term
+}
+
+// errNoTerm is the error of a term record without a term.
+var errNoTerm = errors.New("no term")
+
+// HighestTerm returns the highest term ever issued. The records of shards have it too, for the case that
+// its own record is malformed: terms that begin again would be below the tokens that workers have.
+func (c *Cache) HighestTerm() uint64 {
+	highest := c.recordedTerm
+	for _, capacity := range c.Capacities {
+		if term := capacity.Record.Term; term <= shard.MaxTerm {
+			highest = max(highest, term)
+		}
+	}
+	return highest
+}
+
 // isNewer reports whether a key is that of a live record, and a change of it is newer than the cache.
 func (c *Cache) isNewer(key string, version uint64) bool {
 	if version <= c.Revision && !c.loading {
