--- a/internal/numeric/numeric.go
+++ b/internal/numeric/numeric.go
@@ -13,8 +13,8 @@
 )
 
 // MaxAmount bounds amounts: CPUs, GPUs, GB, prices, rates and durations in seconds (31 years).
-// Sums of them over all tasks and machines stay exact, and a few times as many seconds still fit
-// into a time.Duration.
+// Sums of them over all tasks and machines keep their digits, and a few times as many seconds still
+// fit into a time.Duration.
 const MaxAmount = 1e9
 
 // MaxInt bounds the integers that Int returns. A float64 holds every integer up to it exactly.
--- a/internal/respond/respond.go
+++ b/internal/respond/respond.go
@@ -13,8 +13,8 @@
 var Busy = transport.Response{Status: 503, Body: []byte(`{"error":"try again"}`), RetryAfter: 1}
 
 // JSON returns a response with v, encoded as JSON, as its body. If v can't be encoded, because it
-// contains a number that JSON has no form for, the response has StatusInternalError instead: one
-// such number must not end the process, since its next request would end the next controller.
+// contains a number that JSON has no form for, the response has StatusInternalError instead. Such a
+// number must not end the process, since the repeated request would end the next controller too.
 func JSON(status int, v any) transport.Response {
 	body, err := json.Marshal(v)
 	if err != nil {
--- a/internal/store/keys.go
+++ b/internal/store/keys.go
@@ -70,9 +70,9 @@
 	return page, decodeResponse(m, &page)
 }
 
-// Changes waits up to maxBlock, and at most maxWatchBlock, for changes after a revision to keys with a prefix. It returns
-// them and the revision up to which they are complete. After ErrChangesUnavailable the caller must
-// list the keys instead.
+// Changes waits up to maxBlock, and at most maxWatchBlock, for changes after a revision to keys with
+// a prefix. It returns them and the revision up to which they are complete. After
+// ErrChangesUnavailable the caller must list the keys instead.
 func (c *Client) Changes(ctx context.Context, prefix string, since uint64, maxBlock time.Duration) ([]Change, uint64, error) {
 	maxBlock = min(maxBlock, maxWatchBlock)
 	target := fmt.Sprintf("/changes?prefix=%s&since=%d&blockMs=%d", url.QueryEscape(prefix), since, maxBlock.Milliseconds())
