Summaries pause for a second at least, however short the worker lease

What operators would see: with lease_s next to zero a log that fills with summaries, thousands a second, and a processor that does nothing else.

Cause: the interval between summaries is four worker leases, and the lease became a duration of zero.

Change: an interval of at least a second; a worker lease is at least a millisecond, as the heartbeat interval is.

TestSummariesPauseForAnyLease fails without the bound.

--- a/internal/config/numbers_test.go
+++ b/internal/config/numbers_test.go
@@ -98,8 +98,9 @@
 			t.Fatalf("%s is %v, want at least 0 and no overflow", name, duration)
 		}
 	}
-	if s.HeartbeatInterval() < minHeartbeatInterval {
-		t.Fatalf("heartbeat interval is %v, want at least %v", s.HeartbeatInterval(), minHeartbeatInterval)
+	if s.HeartbeatInterval() < minHeartbeatInterval || s.WorkerLease() < s.HeartbeatInterval() {
+		t.Fatalf("heartbeat interval is %v and worker lease %v, want at least %v and the interval",
+			s.HeartbeatInterval(), s.WorkerLease(), minHeartbeatInterval)
 	}
 	if s.ControllerLeaseTTL() > maxControllerLease {
 		t.Fatalf("controller lease is %v, but the state service grants at most %v", s.ControllerLeaseTTL(), maxControllerLease)
--- a/internal/config/timing.go
+++ b/internal/config/timing.go
@@ -17,13 +17,15 @@
 	maxControllerLease = 600 * time.Second
 )
 
-// minHeartbeatInterval is a lower bound on the heartbeat interval, the resolution of timers. Loops
-// that wait for fractions of the interval would otherwise not wait at all.
+// minHeartbeatInterval is a lower bound on the heartbeat interval and on the worker lease, the resolution
+// of timers. Loops that wait for fractions of them would otherwise not wait at all.
 const minHeartbeatInterval = time.Millisecond
 
 // WorkerLease returns how long a worker keeps its tasks running after it sent the last heartbeat
 // that was answered.
-func (s *Settings) WorkerLease() time.Duration { return numeric.Duration(s.Facts.Workers.LeaseS) }
+func (s *Settings) WorkerLease() time.Duration {
+	return max(numeric.Duration(s.Facts.Workers.LeaseS), minHeartbeatInterval)
+}
 
 // HeartbeatInterval returns how often a worker sends a heartbeat.
 func (s *Settings) HeartbeatInterval() time.Duration {
--- a/internal/controller/huge_amounts_test.go
+++ b/internal/controller/huge_amounts_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"violetturn/internal/api"
+	"violetturn/internal/config"
 	"violetturn/internal/job"
 	"violetturn/internal/simulator"
 	"violetturn/internal/statecache"
@@ -181,3 +182,14 @@
 	}
 	return highest
 }
+
+// Guards against a loop that logs summaries without a pause, for a worker lease next to zero.
+func TestSummariesPauseForAnyLease(t *testing.T) {
+	for _, leaseS := range []float64{0, math.SmallestNonzeroFloat64, 1e-300, 0.001, 10, math.MaxFloat64} {
+		settings := &config.Settings{}
+		settings.Facts.Workers.LeaseS = leaseS
+		if interval := summaryInterval(settings); interval < time.Second {
+			t.Errorf("lease of %g s: summaries are logged every %v, want at least 1s", leaseS, interval)
+		}
+	}
+}
--- a/internal/controller/summary.go
+++ b/internal/controller/summary.go
@@ -8,18 +8,28 @@
 	"slices"
 	"time"
 
+	"violetturn/internal/config"
 	"violetturn/internal/state"
 	"violetturn/internal/timing"
 )
 
-// summaryIntervalLeases is the interval between two logged summaries, as a multiple of the worker
-// lease.
-const summaryIntervalLeases = 4
+const (
+	// summaryIntervalLeases is the interval between two logged summaries, as a multiple of the worker
+	// lease.
+	summaryIntervalLeases = 4
+	// minSummaryInterval is a lower bound on that interval.
+	minSummaryInterval = time.Second
+)
+
+// summaryInterval returns the interval between two logged summaries.
+func summaryInterval(settings *config.Settings) time.Duration {
+	return max(summaryIntervalLeases*settings.WorkerLease(), minSummaryInterval)
+}
 
 // summaryLoop periodically logs this controller's request rates and the size of its state, and
 // removes the in-memory state of finished jobs.
 func (c *Controller) summaryLoop(ctx context.Context) {
-	interval := summaryIntervalLeases * c.node.Settings.WorkerLease()
+	interval := summaryInterval(c.node.Settings)
 	var previousRequests, previousWrites float64
 	for timing.Sleep(ctx, interval) {
 		totalRequests, totalWrites := c.services.Store.TokensUsed()
