The test of the huge save duration shows the bound where it is made

Cause: since saves of more than four minutes get no time, and responses that can't be encoded have status 500, the test passed with the bounds of submissions and of recorded jobs taken out; only FuzzParseJob and the test of records failed then.

Change: it also checks what is recorded, which controllers of an earlier version read beside new ones, and what is read from a record of an earlier version.

Only tests change.

--- a/internal/controller/huge_amounts_test.go
+++ b/internal/controller/huge_amounts_test.go
@@ -10,6 +10,7 @@
 	"violetturn/internal/api"
 	"violetturn/internal/config"
 	"violetturn/internal/job"
+	"violetturn/internal/numeric"
 	"violetturn/internal/simulator"
 	"violetturn/internal/statecache"
 	"violetturn/internal/store"
@@ -25,6 +26,11 @@
 		t.Run(name, func(t *testing.T) {
 			s := newReadyCluster()
 			id := s.submitSavingJob(kind, hugeSaveDuration)
+			s.changeRecordedSpec(t, id, func(spec map[string]any) { // read by controllers of an earlier version too
+				if recorded, _ := spec["stowS"].(float64); recorded != numeric.MaxAmount {
+					t.Errorf("recorded save duration is %g s, want %g", recorded, numeric.MaxAmount)
+				}
+			})
 			s.runUntil(t, 80, "tasks run", func() bool { return s.runningTasks(id) == 2 })
 			s.reclaimSpotMachines()
 			s.runUntil(t, 200, "job is done", s.isDone(id))
@@ -43,6 +49,11 @@
 			s.environment.Jobs[id].Spec.SaveDurationS = hugeSaveDuration
 			s.changeRecordedSpec(t, id, func(spec map[string]any) { spec["stowS"] = hugeSaveDuration })
 			s.restartNodes(nil)
+			for _, n := range s.nodes {
+				if read := n.state().Cache.Jobs[id].Record.Spec.SaveDurationS; read != numeric.MaxAmount {
+					t.Errorf("%s reads a save duration of %g s, want %g", n.name, read, numeric.MaxAmount)
+				}
+			}
 			s.reclaimSpotMachines()
 			s.runUntil(t, 200, "job is done", s.isDone(id))
 		})
