Messages to a worker hold 64 KiB: commands go in parts, the most urgent first

What callers saw: after a service of 1,150 small replicas was cancelled, the leader sent the worker a direct command of 71,253 bytes and answered each heartbeat with a line of 71,242 bytes.

Cause: commands were derived for all tasks of a machine and put into one message; nothing counted bytes. The ends of the stopped tasks would also have made the worker's next heartbeat longer than 64 KiB, so that it could not have reported them.

Change: agent.CommandSet selects the commands of a message by urgency: tasks that nothing needs any more (cancelled, not committed), other stops, clears, launches. It counts the bytes of the message and of the next heartbeat, in which tasks that may end by themselves have space reserved. If only the heartbeat lacks space, cancelled tasks are stopped and cleared by one message. What is left out follows: commands are derived again from each heartbeat, and a direct command that was cut is followed by the next one as soon as it is answered. Launches wait while stops are left out. The answer to a malformed heartbeat no longer quotes the decoder, whose text can be as long as the heartbeat.

The simulated workers refuse longer messages, and send no longer heartbeats.

The golden coverage leaves out fields that are not exported, which no message contains; the fuzz test also checks the recorded length.

--- a/internal/agent/commands.go
+++ b/internal/agent/commands.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"time"
+
 	"violetturn/internal/api"
 	"violetturn/internal/statecache"
 )
@@ -39,12 +41,28 @@
 // StopCancelledTasks returns the commands that stop the tasks of cancelled jobs on a machine, for
 // a controller that may not act as a leader. Such a controller may have missed newer commits, but a
 // cancellation is never reverted, and the tasks of a cancelled job must end in time.
-func (r *Registry) StopCancelledTasks(host string) []api.Command {
-	commands := []api.Command{}
-	for _, task := range r.cache.Placements[host] {
-		if j := r.cache.Jobs[task.UID]; j != nil && j.IsCancelled() {
-			commands = append(commands, r.StopCommand(j, AttemptIDOf(task, j)))
+func (r *Registry) StopCancelledTasks(worker *Agent, heartbeat *api.Heartbeat, now time.Time) []api.Command {
+	commands := NewCommandSet(worker, heartbeat, now)
+	phases := reportedPhases(heartbeat)
+	for _, task := range r.cache.Placements[heartbeat.Host] {
+		j := r.cache.Jobs[task.UID]
+		if j == nil || !j.IsCancelled() {
+			continue
+		}
+		attempt := AttemptIDOf(task, j)
+		if phase, reported := phases[attempt]; reported && phase != api.TaskEnded {
+			commands.AddStop(r.StopCommand(j, attempt), StopRemoved, false)
 		}
 	}
-	return commands
+	commands.SelectStops()
+	return commands.Commands()
+}
+
+// reportedPhases returns the phases of the attempts in a heartbeat.
+func reportedPhases(heartbeat *api.Heartbeat) map[AttemptID]api.TaskPhase {
+	phases := make(map[AttemptID]api.TaskPhase, len(heartbeat.Tasks))
+	for _, task := range heartbeat.Tasks {
+		phases[AttemptID{Task: task.Task, Attempt: task.Attempt}] = task.Phase
+	}
+	return phases
 }
--- a/internal/agent/direct_commands.go
+++ b/internal/agent/direct_commands.go
@@ -45,6 +45,7 @@
 	Addr  string
 	Term  uint64
 	Batch api.CommandBatch
+	More  bool // commands were left out of the batch, which are to be sent once the worker has responded
 
 	slots chan struct{} // the command holds one of these slots
 }
@@ -66,7 +67,7 @@
 	if d.registry.node.Now().Sub(agent.LastCommandAt) < d.registry.node.Settings.HeartbeatInterval() {
 		return nil
 	}
-	return d.prepare(host, d.fenceSlots, api.CommandBatch{AgentEpoch: initialAgentEpoch, Commands: []api.Command{}})
+	return d.prepare(host, d.fenceSlots, api.CommandBatch{AgentEpoch: initialAgentEpoch, Commands: []api.Command{}}, false)
 }
 
 // PrepareShardFences prepares the fences of a shard's workers, as many as there are free slots.
@@ -85,7 +86,7 @@
 
 // prepare prepares commands that are safe to carry out at any later time. It returns nil if the
 // worker has no known address or no slot is free; callers retry later.
-func (d *DirectCommands) prepare(host string, slots chan struct{}, batch api.CommandBatch) *DirectCommand {
+func (d *DirectCommands) prepare(host string, slots chan struct{}, batch api.CommandBatch, more bool) *DirectCommand {
 	machine, agent := d.registry.cache.Machines[host], d.registry.agents[host]
 	if machine == nil || machine.Addr == "" || agent == nil {
 		return nil
@@ -97,7 +98,7 @@
 	}
 	agent.LastCommandAt = d.registry.node.Now()
 	batch.Token = agent.Token()
-	return &DirectCommand{Host: host, Addr: machine.Addr, Term: agent.Term, Batch: batch, slots: slots}
+	return &DirectCommand{Host: host, Addr: machine.Addr, Term: agent.Term, Batch: batch, More: more, slots: slots}
 }
 
 // RequestHeartbeat records that the tasks of a worker have changed. The worker is made to send a
@@ -113,9 +114,9 @@
 	}
 	var due []*DirectCommand
 	for host := range d.requestedHosts {
-		batch, needed := d.heartbeatRequest(host, now)
+		batch, more, needed := d.heartbeatRequest(host, now)
 		if needed {
-			command := d.prepare(host, d.requestSlots, batch)
+			command := d.prepare(host, d.requestSlots, batch, more)
 			if command == nil {
 				break
 			}
@@ -127,23 +128,25 @@
 }
 
 // heartbeatRequest returns the commands that make a worker send a heartbeat now. needed is false
-// if no change requires a heartbeat or the worker does not accept commands. Commands that stop
-// tasks make the worker send a heartbeat; for launches alone the worker's token is raised.
-func (d *DirectCommands) heartbeatRequest(host string, now time.Time) (batch api.CommandBatch, needed bool) {
+// if no change requires a heartbeat or the worker does not accept commands; more is true if commands
+// were left out. Commands that stop tasks make the worker send a heartbeat; for launches alone the
+// worker's token is raised.
+func (d *DirectCommands) heartbeatRequest(host string, now time.Time) (batch api.CommandBatch, more, needed bool) {
 	agent := d.registry.agents[host]
 	if !d.acceptsCommands(host, agent) {
-		return batch, false
+		return batch, false, false
 	}
-	immediate := d.immediateCommands(host, agent)
+	immediate := d.immediateCommands(host, agent, now)
 	if !immediate.hasStops {
 		// The worker treats raises in quick succession as no change, so a raise is used
 		// only for launches, which must not be sent directly.
 		if !immediate.hasLaunches || now.Sub(agent.LastTokenChange()) < d.registry.node.Settings.WorkerLease()/2 {
-			return batch, false
+			return batch, false, false
 		}
 		agent.RaiseToken(now)
 	}
-	return api.CommandBatch{AgentEpoch: agent.Heartbeat.AgentEpoch, Commands: immediate.commands}, true
+	batch = api.CommandBatch{AgentEpoch: agent.Heartbeat.AgentEpoch, Commands: immediate.commands.Commands()}
+	return batch, immediate.commands.Deferred(), true
 }
 
 // acceptsCommands reports whether a worker can be expected to carry out a command now. Its shard
--- a/internal/api/fuzz_test.go
+++ b/internal/api/fuzz_test.go
@@ -90,7 +90,12 @@
 		if notice := h.SpotNoticeS; notice != nil && !(math.Abs(*notice) <= numeric.MaxAmount) {
 			t.Fatalf("got a spot notice of %g s, want at most %g", *notice, numeric.MaxAmount)
 		}
-		decoded, err := ParseHeartbeat(MustMarshal(h))
+		if h.EncodedBytes() != len(body) {
+			t.Fatalf("length of the message is %d bytes, want %d", h.EncodedBytes(), len(body))
+		}
+		encoded := MustMarshal(h)
+		h.encodedBytes = len(encoded)
+		decoded, err := ParseHeartbeat(encoded)
 		if err != nil || !reflect.DeepEqual(h, decoded) {
 			t.Fatalf("heartbeat parsed from its encoding is %+v, error %v, want %+v", decoded, err, h)
 		}
--- a/internal/api/heartbeat.go
+++ b/internal/api/heartbeat.go
@@ -28,6 +28,21 @@
 	Token       uint64      `json:"baton"`   // highest fencing token that the worker has received
 	SpotNoticeS *float64    `json:"recallS"` // seconds until the cloud reclaims the spot machine; nil: no notice
 	Tasks       []TaskState `json:"pieces"`  // all tasks on the machine; ended tasks until they are cleared
+
+	encodedBytes int // length of the message that it was parsed from; 0: not parsed from one
+}
+
+// EncodedBytes returns the length of the message with the heartbeat: of the one that it was parsed
+// from, otherwise an upper bound for the encoding of PROTOCOL's example.
+func (h *Heartbeat) EncodedBytes() int {
+	if h.encodedBytes > 0 {
+		return h.encodedBytes
+	}
+	bytes := heartbeatHeaderBytes
+	for i := range h.Tasks {
+		bytes += h.Tasks[i].entryBytes()
+	}
+	return bytes
 }
 
 // NewerThan reports whether the worker sent the heartbeat after the one with the given agent epoch
@@ -45,9 +60,10 @@
 // ParseHeartbeat parses a heartbeat. Its error is a RequestError with StatusBadRequest.
 func ParseHeartbeat(body []byte) (*Heartbeat, error) {
 	var h Heartbeat
-	if err := json.Unmarshal(body, &h); err != nil {
-		return nil, NewRequestError(StatusBadRequest, "%v", err)
+	if json.Unmarshal(body, &h) != nil {
+		return nil, NewRequestError(StatusBadRequest, "malformed heartbeat") // the decoder's error may be as long as the message
 	}
+	h.encodedBytes = len(body)
 	if h.AgentEpoch == 0 || h.Host == "" || len(h.Host) > maxHostLength || strings.ContainsAny(h.Host, forbiddenHostCharacters) {
 		return nil, NewRequestError(StatusBadRequest, "host or tenure missing")
 	}
--- a/internal/commands/sender.go
+++ b/internal/commands/sender.go
@@ -68,6 +68,10 @@
 			return
 		}
 		s.acceptResponse(command, heartbeat)
+		if accepted && command.More {
+			s.RequestHeartbeats(ctx) // sends the next part
+			return
+		}
 		if accepted || shard.TokenTerm(heartbeat.Token) >= command.Term {
 			return
 		}
@@ -80,6 +84,9 @@
 	state := s.guard.Lock()
 	defer s.guard.Unlock()
 	state.Agents.AcceptCommandResponse(command.Host, command.Term, heartbeat)
+	if command.More {
+		state.DirectCommands.RequestHeartbeat(command.Host)
+	}
 }
 
 // RequestHeartbeats makes workers whose tasks have changed send a heartbeat at once: launches are
--- a/internal/controller/cluster_heartbeats_test.go
+++ b/internal/controller/cluster_heartbeats_test.go
@@ -28,6 +28,7 @@
 
 const (
 	maxHeartbeatCopies = 64              // copies that the cluster keeps for later delivery
+	maxResponseCopies  = 64              // copies of responses with commands that the cluster keeps
 	responseTimeout    = 4 * time.Second // after this time a worker ignores a response
 )
 
@@ -42,6 +43,7 @@
 	status   int
 	commands api.CommandBatch
 	leader   string // the controller that the worker should report to
+	body     []byte
 }
 
 // sentHeartbeat describes a heartbeat that was sent: its sender, its receiver, its time, and the
@@ -62,13 +64,13 @@
 // sendHeartbeat makes a worker send a heartbeat to the controller that it reports to, or receive
 // the response that it is waiting for.
 func (s *clusterNodes) sendHeartbeat(worker *simulator.Worker, fault heartbeatFault) {
-	if !worker.Booted() || worker.Hung {
+	if !worker.Booted() || worker.Hung || s.receivePendingResponse(worker) {
 		return
 	}
-	if s.receivePendingResponse(worker) {
+	body := s.encodeHeartbeat(worker)
+	if body == nil {
 		return
 	}
-	body := api.MustMarshal(worker.Heartbeat())
 	to := worker.NodeIndex
 	partitioned := s.workerPartitioned(worker, to)
 	if partitioned && fault == heartbeatDelayed {
@@ -78,13 +80,12 @@
 		s.tryNextNode(worker, to)
 		return
 	}
-	if len(s.heartbeatCopies) < maxHeartbeatCopies {
-		s.heartbeatCopies = append(s.heartbeatCopies, heartbeatCopy{to, body})
-	}
+	s.keepHeartbeatCopy(heartbeatCopy{to, body})
 	sent := sentHeartbeat{worker, to, s.environment.Now, worker.AgentEpoch}
 	response := s.deliverHeartbeat(to, body)
+	accepted := worker.ReceiveHeartbeatResponse(response.body)
 	switch {
-	case fault == responseLost || worker.InboundLost:
+	case !accepted || fault == responseLost || worker.InboundLost:
 		s.tryNextNode(worker, to)
 	case response.status == http.StatusOK && fault == responseDelayed:
 		s.pendingResponses[worker.Host] = &pendingResponse{sent, response.commands}
@@ -93,6 +94,16 @@
 	}
 }
 
+// encodeHeartbeat returns the worker's next heartbeat, or nil if it is longer than the worker may send.
+func (s *clusterNodes) encodeHeartbeat(worker *simulator.Worker) []byte {
+	body := worker.EncodeHeartbeat()
+	if len(body) > api.MaxMessageBytes {
+		s.unsentHeartbeats++
+		return nil
+	}
+	return body
+}
+
 // receivePendingResponse delivers the response that a worker is waiting for, unless it arrives
 // after responseTimeout. It reports whether the worker was waiting for one.
 func (s *clusterNodes) receivePendingResponse(worker *simulator.Worker) bool {
@@ -102,7 +113,7 @@
 	}
 	delete(s.pendingResponses, worker.Host)
 	if s.environment.Now.Sub(pending.sent.sentAt) < responseTimeout {
-		worker.HandleResponse(pending.commands, pending.sent.sentAt, pending.sent.agentEpoch)
+		pending.deliver()
 	}
 	return true
 }
@@ -124,6 +135,7 @@
 	switch {
 	case response.status == http.StatusOK:
 		sent.worker.HandleResponse(response.commands, sent.sentAt, sent.agentEpoch)
+		s.keepResponseCopy(pendingResponse{sent, response.commands})
 	case response.status == http.StatusMisdirectedRequest && response.leader != "" && response.leader != s.nodes[sent.to].name:
 		sent.worker.NodeIndex = slices.IndexFunc(s.nodes, func(n *testNode) bool { return n.name == response.leader })
 	default:
@@ -131,6 +143,35 @@
 	}
 }
 
+// keepHeartbeatCopy keeps a copy of a heartbeat that arrived.
+func (s *clusterNodes) keepHeartbeatCopy(heartbeat heartbeatCopy) {
+	if len(s.heartbeatCopies) < maxHeartbeatCopies {
+		s.heartbeatCopies = append(s.heartbeatCopies, heartbeat)
+	}
+}
+
+// keepResponseCopy keeps a copy of a response that a worker has received, if it contains commands.
+func (s *clusterNodes) keepResponseCopy(response pendingResponse) {
+	if len(response.commands.Commands) > 0 && len(s.responseCopies) < maxResponseCopies {
+		s.responseCopies = append(s.responseCopies, response)
+	}
+}
+
+// deliver delivers the response to its worker, maybe once more.
+func (r *pendingResponse) deliver() {
+	r.sent.worker.HandleResponse(r.commands, r.sent.sentAt, r.sent.agentEpoch)
+}
+
+// deliverLaunchCopies delivers copies of the responses that launched tasks once more.
+func (s *clusterNodes) deliverLaunchCopies() {
+	for _, response := range s.responseCopies {
+		launches := func(command api.Command) bool { return command.Action == api.Launch }
+		if slices.ContainsFunc(response.commands.Commands, launches) {
+			response.deliver()
+		}
+	}
+}
+
 // deliverHeartbeat makes a controller handle a heartbeat and returns its response, which is empty
 // if the controller is stopped or paused.
 func (s *clusterNodes) deliverHeartbeat(to int, body []byte) heartbeatResponse {
@@ -143,7 +184,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return heartbeatResponse{r.Status, commands, leader}
+	return heartbeatResponse{r.Status, commands, leader, r.Body}
 }
 
 // deliverCopies delivers copies of heartbeats to every controller.
@@ -159,11 +200,20 @@
 func (s *clusterNodes) heartbeats() [][]byte {
 	var out [][]byte
 	for _, h := range s.environment.Cloud.HostNames() {
-		out = append(out, api.MustMarshal(s.environment.Cloud.WorkersByHost[h].Heartbeat()))
+		out = append(out, s.environment.Cloud.WorkersByHost[h].EncodeHeartbeat())
 	}
 	return out
 }
 
+// deliverCommandCopies delivers copies of the direct commands that workers have received once more.
+func (s *clusterNodes) deliverCommandCopies() {
+	for _, n := range s.nodes {
+		for _, deliver := range n.commands.Copies {
+			deliver()
+		}
+	}
+}
+
 // deliverDelayedCommands delivers the commands that partitions have delayed.
 func (s *clusterNodes) deliverDelayedCommands() {
 	for _, n := range s.nodes {
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -43,6 +43,8 @@
 	delayedHeartbeats []func()                    // each delivers a heartbeat that a partition has delayed
 	heartbeatCopies   []heartbeatCopy             // copies of heartbeats that arrived, to be delivered again later
 	pendingResponses  map[string]*pendingResponse // by machine, the response in transit to its worker
+	responseCopies    []pendingResponse           // copies of responses that workers received, to be delivered again later
+	unsentHeartbeats  int                         // heartbeats that were longer than a worker may send
 
 	stateLimits, nextStateLimits config.StateLimits // current and announced limits of the state service
 	limitsLowered                bool               // the state service applies the announced limits
--- a/internal/controller/load_scenario_test.go
+++ b/internal/controller/load_scenario_test.go
@@ -153,7 +153,7 @@
 		if err != nil {
 			panic(err)
 		}
-		l.handleHeartbeatResponse(sent, heartbeatResponse{status, commands, leader})
+		l.handleHeartbeatResponse(sent, heartbeatResponse{status, commands, leader, body})
 		if status != 200 {
 			l.nextHeartbeat[host] = l.environment.Now.Add(time.Second)
 		}
--- /dev/null
+++ b/internal/controller/message_size_test.go
@@ -0,0 +1,46 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"violetturn/internal/api"
+)
+
+// smallReplicas is a number of replicas whose entries nearly fill a heartbeat, and whose stops and
+// ends would exceed a message.
+const smallReplicas = 1150
+
+// submitSmallService submits a service of many small replicas and returns its UID.
+func (s *testCluster) submitSmallService(replicas int) string {
+	return s.submitService(replicas, func(j *api.Job) {
+		j.CPUs, j.GPUs, j.MemGB, j.Zone = 0.002, 0, 0.01, "x"
+	})
+}
+
+// newClusterWithOneMachine returns a cluster in which a task of another team runs on the only
+// machine, and the machine's worker.
+func newClusterWithOneMachine(t *testing.T) (s *testCluster, otherTask string, host string) {
+	t.Helper()
+	s = newReadyCluster()
+	otherTask = s.submitArray(1, time.Hour, func(j *api.Job) { j.Team, j.Zone, j.CPUs = "a", "x", 1 })
+	s.runUntil(t, 120, "task of another team runs", func() bool { return s.runningTasks(otherTask) == 1 })
+	s.environment.Cloud.NoCapacity = true
+	return s, otherTask, s.workerOf(otherTask).Host
+}
+
+// Guards against messages to a worker that are longer than 64 KiB: the worker takes them for no
+// response, and its lease runs out with the tasks of other teams (review, case 3).
+func TestCancelledSmallReplicasAreStoppedInParts(t *testing.T) {
+	s, otherTask, host := newClusterWithOneMachine(t)
+	service := s.submitSmallService(smallReplicas)
+	s.runUntil(t, 120, "replicas run", func() bool { return s.runningTasks(service) == smallReplicas })
+	s.cancel(0, service)
+	s.runUntil(t, rounds(s.environment.CancelTimeout), "replicas stopped", func() bool { return s.presentTasks(service) == 0 })
+	s.runRounds(t, 2*rounds(s.environment.WorkerLease))
+	worker := s.environment.Cloud.WorkersByHost[host]
+	if s.runningTasks(otherTask) != 1 || worker.AgentEpoch != 1 || s.unsentHeartbeats != 0 {
+		t.Errorf("%d tasks of the other team run in agent epoch %d, %d heartbeats were too long; want 1 task, epoch 1 and none too long",
+			s.runningTasks(otherTask), worker.AgentEpoch, s.unsentHeartbeats)
+	}
+}
--- a/internal/golden/coverage_test.go
+++ b/internal/golden/coverage_test.go
@@ -53,8 +53,11 @@
 		c[name] = map[string]bool{}
 	}
 	for i := range v.NumField() {
-		field := v.Type().Field(i).Name
-		c[name][field] = c[name][field] || !v.Field(i).IsZero()
+		field := v.Type().Field(i)
+		if !field.IsExported() {
+			continue // it is not encoded
+		}
+		c[name][field.Name] = c[name][field.Name] || !v.Field(i).IsZero()
 		c.recordValue(v.Field(i))
 	}
 }
--- a/internal/reconcile/comparison.go
+++ b/internal/reconcile/comparison.go
@@ -42,15 +42,16 @@
 	committed     map[agent.AttemptID]bool // attempts that are committed for the machine
 	launches      []committedTask          // committed tasks that are to be launched
 	tasksStopping bool                     // at least one task is being stopped
+	spaceExpected bool                     // a replica started so recently that space is reserved for its end
 	free          sched.Resources          // free capacity for launches in this response
 	capacityKnown bool                     // free is valid: the catalog has the machine type
-	commands      []api.Command
+	commands      *agent.CommandSet
 }
 
 // CommandsFor returns the commands for a worker whose heartbeat was accepted.
 func (r *Reconciler) CommandsFor(heartbeat *api.Heartbeat, worker *agent.Agent, now time.Time) []api.Command {
 	if !r.leadership.MayAct(now) {
-		return r.agents.StopCancelledTasks(heartbeat.Host)
+		return r.agents.StopCancelledTasks(worker, heartbeat, now)
 	}
 	// Tasks that continue to run use their resources until a later heartbeat reports their end.
 	// Tasks that are stopped without saving end before the launches in the same response start.
@@ -61,7 +62,7 @@
 		committed:     map[agent.AttemptID]bool{},
 		free:          machineCapacity,
 		capacityKnown: machineType != nil,
-		commands:      []api.Command{},
+		commands:      agent.NewCommandSet(worker, heartbeat, now),
 	}
 	c.indexReportedAttempts()
 	for placementKey, placed := range r.cache.Placements[heartbeat.Host] {
@@ -70,8 +71,14 @@
 		}
 	}
 	c.removeUncommitted()
-	c.launchTasks()
-	return c.commands
+	c.commands.SelectStops()
+	c.commands.SelectClears()
+	// The capacity of tasks whose stops were left out is not free yet, and stops take precedence over
+	// launches in the next response too.
+	if !c.commands.Deferred() {
+		c.launchTasks()
+	}
+	return c.commands.Commands()
 }
 
 // indexReportedAttempts indexes the reported tasks by attempt.
@@ -106,6 +113,11 @@
 	if reported.Phase == api.TaskRunning {
 		c.recordFirstRun(task)
 	}
+	mayEnd := c.reconciler.agents.MayEndBeforeNextHeartbeat(c.worker, task.placementKey, task.attempt, task.job, reported.Phase, c.now)
+	if mayEnd {
+		c.commands.ReserveEnd()
+		c.spaceExpected = c.spaceExpected || task.job.Record.Spec.Kind == api.Service
+	}
 	_, ended := c.worker.EndedAttempts[task.placementKey]
 	switch {
 	case reported.Phase == api.TaskEnded:
@@ -113,7 +125,7 @@
 			c.recordReportedEnd(task, reported)
 		}
 	case task.mustStop || ended:
-		c.stopTask(task, reported)
+		c.stopTask(task, reported, mayEnd)
 	default:
 		c.free = c.free.Sub(task.resources())
 	}
@@ -135,14 +147,16 @@
 
 // stopTask stops a task that is on the machine. A task that is saving already is sent another stop
 // command only if its job is cancelled, because that leaves it less time.
-func (c *comparison) stopTask(task committedTask, reported *api.TaskState) {
+// endReserved is true if space for the end of the task is reserved in the next heartbeat.
+func (c *comparison) stopTask(task committedTask, reported *api.TaskState, endReserved bool) {
 	c.tasksStopping = true
 	saving := reported.Phase == api.TaskSaving
 	if saving || task.job.SavesOnStop() {
 		c.free = c.free.Sub(task.resources())
 	}
 	if !saving || task.job.IsCancelled() {
-		c.commands = append(c.commands, c.reconciler.agents.StopCommand(task.job, task.attempt))
+		urgency := agent.StopUrgency(task.job.IsCancelled())
+		c.commands.AddStop(c.reconciler.agents.StopCommand(task.job, task.attempt), urgency, endReserved)
 	}
 }
 
@@ -223,12 +237,14 @@
 		if c.committed[attempt] {
 			continue
 		}
-		command := attempt.Command(api.Clear)
-		if reported.Phase != api.TaskEnded {
-			command = attempt.Command(api.Stop)
-			command.GraceS = new(float64) // at once: no job uses what the attempt could save
+		if reported.Phase == api.TaskEnded {
+			c.commands.AddClear(attempt)
+			continue
 		}
-		c.commands = append(c.commands, command)
+		c.commands.ReserveEnd()
+		command := attempt.Command(api.Stop)
+		command.GraceS = new(float64) // at once: no job uses what the attempt could save
+		c.commands.AddStop(command, agent.StopRemoved, true)
 	}
 }
 
@@ -246,11 +262,20 @@
 			c.recordBlockedLaunch(task, pending)
 			continue
 		}
+		switch c.commands.SelectLaunch(task.attempt) {
+		case agent.LaunchSelected:
+		case agent.MessageFull:
+			return // the other launches follow in the next response
+		case agent.ReportFull:
+			if !c.spaceExpected {
+				c.recordBlockedLaunch(task, pending)
+			}
+			continue
+		}
 		c.free = c.free.Sub(task.resources())
 		pending.SentResponses++
 		pending.BlockedHeartbeats = 0
 		c.worker.PendingLaunches[task.placementKey] = pending
-		c.commands = append(c.commands, task.attempt.Command(api.Launch))
 	}
 }
 
--- a/internal/simulator/command_client.go
+++ b/internal/simulator/command_client.go
@@ -15,6 +15,7 @@
 	Environment       *Environment
 	Controller        string
 	DelayedDeliveries []func() // each delivers commands that a partition or a hung worker delays; a test runs them
+	Copies            []func() // each delivers commands that a worker has received once more; a test runs them
 	Partitioned       bool     // the controller is partitioned from all workers
 
 	PartitionedFrom func(worker *Worker) bool // whether the controller is partitioned from a worker; nil: from none
@@ -36,6 +37,16 @@
 	return nil, ErrNoResponse
 }
 
+// maxCommandCopies is the number of copies that a client keeps.
+const maxCommandCopies = 64
+
+// keepCopy keeps a copy of commands that a worker has received.
+func (c *CommandClient) keepCopy(worker *Worker, batch api.CommandBatch) {
+	if len(c.Copies) < maxCommandCopies {
+		c.Copies = append(c.Copies, func() { worker.handleDirect(batch) })
+	}
+}
+
 // SendCommands sends commands to a worker. It returns the worker's heartbeat and whether the worker
 // accepted the commands, or ErrNoResponse. If the worker is partitioned or hung, the commands are
 // delivered when a test runs the functions in DelayedDeliveries. If there is no such machine, or it
@@ -53,6 +64,7 @@
 			break
 		}
 		heartbeat, accepted := worker.handleDirect(batch)
+		c.keepCopy(worker, batch)
 		return heartbeat, accepted, nil
 	}
 	return nil, false, ErrNoResponse
--- a/internal/simulator/worker_heartbeat.go
+++ b/internal/simulator/worker_heartbeat.go
@@ -30,6 +30,28 @@
 	return h
 }
 
+// encodedTask is a task in an encoded heartbeat, in the form of PROTOCOL's example.
+type encodedTask struct {
+	Task    string        `json:"piece"`
+	Attempt uint64        `json:"try"`
+	Phase   api.TaskPhase `json:"phase"`
+	Cause   api.ExitCause `json:"cause,omitempty"`
+	Saved   bool          `json:"saved,omitempty"`
+}
+
+// EncodeHeartbeat returns the message with the worker's next heartbeat. A worker does not send it if
+// it is longer than api.MaxMessageBytes.
+func (w *Worker) EncodeHeartbeat() []byte {
+	heartbeat := struct {
+		*api.Heartbeat
+		Tasks []encodedTask `json:"pieces"`
+	}{w.Heartbeat(), []encodedTask{}}
+	for _, t := range heartbeat.Heartbeat.Tasks {
+		heartbeat.Tasks = append(heartbeat.Tasks, encodedTask(t))
+	}
+	return api.MustMarshal(heartbeat)
+}
+
 // StateSummary returns a string that changes whenever a change of state requires the worker to send
 // a heartbeat at once.
 func (w *Worker) StateSummary() string {
@@ -68,14 +90,35 @@
 	w.execute(batch.Commands)
 }
 
+// checkLength records a violation if an encoded message to a worker is longer than PROTOCOL allows, and
+// reports whether the worker accepts it.
+func (e *Environment) checkLength(message string, length int) bool {
+	if length <= api.MaxMessageBytes {
+		return true
+	}
+	e.RecordViolation(RuleLimits, "%s has %d bytes", message, length)
+	return false
+}
+
+// ReceiveHeartbeatResponse checks the length of the response to a heartbeat and reports whether the
+// worker accepts it.
+func (w *Worker) ReceiveHeartbeatResponse(body []byte) bool {
+	return w.env.checkLength("response to the heartbeat of "+w.Host, len(body))
+}
+
 // handleDirect carries out commands that were sent directly, unless they are for another agent
 // epoch or have an outdated fencing token. It returns a heartbeat and whether the commands were
 // accepted.
 func (w *Worker) handleDirect(batch api.CommandBatch) (*api.Heartbeat, bool) {
-	accepted := batch.Token >= w.Token && batch.AgentEpoch == w.AgentEpoch
+	accepted := batch.Token >= w.Token && batch.AgentEpoch == w.AgentEpoch &&
+		w.env.checkLength("direct command to "+w.Host, len(api.MustMarshal(batch)))
 	if accepted {
 		w.Token = batch.Token
 		w.execute(batch.Commands)
 	}
-	return w.Heartbeat(), accepted
+	heartbeat, err := api.ParseHeartbeat(w.EncodeHeartbeat())
+	if err != nil {
+		panic(err)
+	}
+	return heartbeat, accepted
 }
