A machine gets only as many tasks as a heartbeat of its worker can report

What callers saw: 1,200 to 2,200 small tasks were placed on one machine.

Cause: only CPUs, GPUs and memory limited what was placed on a machine.

Change: the space in a heartbeat is a fourth resource of machines and tasks, so that plans, claims, preemption, gangs and rentals respect it. It is not recorded: each controller calculates it from the placements that it has read, and a placement is conditional on the capacity record that every placement on the shard's machines writes. Records keep their form. The end of an array's task is included, that of a replica is not, since replicas are stopped by commands, which keep within a heartbeat.

--- a/internal/api/message_size.go
+++ b/internal/api/message_size.go
@@ -9,6 +9,7 @@
 // Lengths in bytes of the parts of an encoded heartbeat, without spaces, as in PROTOCOL's example.
 const (
 	taskEntryBytes = len(`{"piece":"","try":,"phase":"running"},`)
+	attemptBytes   = len("99") // an attempt of a task that was started again a few times
 	// heartbeatHeaderBytes is reserved for what a heartbeat contains besides the tasks.
 	heartbeatHeaderBytes = 1 << 10
 )
@@ -17,6 +18,21 @@
 // task ends.
 const EndedEntryGrowth = len(`,"cause":"mates_gone","saved":true`)
 
+// MaxTasksBytes is the space that the tasks of a machine may take in the heartbeats of its worker.
+const MaxTasksBytes = MaxMessageBytes - heartbeatHeaderBytes
+
+// TaskReportBytes returns the space to reserve for each task of the job in the heartbeats of its
+// worker. All tasks of an array or gang may end between two heartbeats. Replicas run on until they are
+// stopped, so the space for their ends is not reserved: the commands that launch and stop them keep
+// within what the heartbeats can show.
+func (j *Job) TaskReportBytes() int {
+	bytes := TaskEntryBytes(TaskName(j.UID, max(j.Tasks-1, 0))) + attemptBytes
+	if j.Kind != Service {
+		bytes += EndedEntryGrowth
+	}
+	return bytes
+}
+
 // TaskEntryBytes returns the space that a task which has not ended takes in a heartbeat, without the
 // digits of its attempt.
 func TaskEntryBytes(task string) int { return taskEntryBytes + len(task) }
--- a/internal/capacity/calculator.go
+++ b/internal/capacity/calculator.go
@@ -125,6 +125,9 @@
 	if worker == nil || !worker.Fenced() || worker.Terminated || worker.LeaseExpired || worker.Cordoned || worker.Unresponsive() {
 		return false
 	}
+	if worker.Heartbeat.EncodedBytes() > api.MaxTasksBytes {
+		return false // it reports more than was reserved for its tasks
+	}
 	return worker.Heartbeat.SpotNoticeS == nil && !now.Before(worker.AvoidUntil) &&
 		now.Sub(worker.LastSeen) < maxMissedHeartbeats*c.node.Settings.HeartbeatInterval()
 }
@@ -163,6 +166,12 @@
 	return free, size, free.CPUs > minFree && free.MemGB > minFree
 }
 
+// FreeReportBytes returns the space that the tasks committed for a machine leave in its worker's
+// heartbeats. It may be negative.
+func (c *Calculator) FreeReportBytes(host string) float64 {
+	return api.MaxTasksBytes - c.LoadOf(host).Used.ReportBytes
+}
+
 // ProvisioningHosts returns the machines that are still booting, with their whole capacity free:
 // all of them, or only those that were rented for shards that this controller leads.
 func (c *Calculator) ProvisioningHosts(now time.Time, all bool) []*sched.Host {
--- a/internal/capacity/claims.go
+++ b/internal/capacity/claims.go
@@ -22,6 +22,7 @@
 // shardClaim is a shard's free capacity and quota usage after a transaction.
 type shardClaim struct {
 	free          shard.FreeCapacity
+	reportBytes   map[string]float64         // claimed space in workers' heartbeats, by machine
 	quotaUse      map[string]sched.Resources // by limited team
 	changedShares map[string]sched.Resources // quota shares that the transaction changes, by team
 }
@@ -34,7 +35,7 @@
 	if record == nil || a.cache.Leaders[shardName].Record == nil {
 		return nil
 	}
-	claim := &shardClaim{changedShares: map[string]sched.Resources{}}
+	claim := &shardClaim{changedShares: map[string]sched.Resources{}, reportBytes: map[string]float64{}}
 	if a.leadership.Leads(shardName) {
 		claim.free = a.offeredCapacity(shardName, now)
 		claim.quotaUse = a.QuotaUseOf(shardName)
@@ -120,6 +121,7 @@
 	}
 	if !pending.preempts {
 		free, offered := pending.claim.free[pending.host]
+		free.ReportBytes = a.calculator.FreeReportBytes(pending.host) - pending.claim.reportBytes[pending.host]
 		pending.free = free
 		if !offered || !pending.free.Fits(pending.need) {
 			return nil
@@ -170,6 +172,7 @@
 	} else {
 		p.claim.free[p.host] = p.free.Sub(p.need).Rounded()
 	}
+	p.claim.reportBytes[p.host] += p.need.ReportBytes
 }
 
 // Write adds the shards' capacity records and the changed quota shares to a transaction.
--- a/internal/capacity/demand.go
+++ b/internal/capacity/demand.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"violetturn/internal/api"
 	"violetturn/internal/sched"
 	"violetturn/internal/shard"
 	"violetturn/internal/statecache"
@@ -27,13 +28,13 @@
 	tasks := map[sched.Resources]float64{}
 	for _, job := range a.cache.Jobs {
 		if !job.Record.Cancelled && !a.leadership.Leads(job.Record.Shard) {
-			tasks[statecache.ResourcesOf(&job.Record.Spec)] += float64(len(job.PendingTasks()))
+			tasks[demandOf(&job.Record.Spec)] += float64(len(job.PendingTasks()))
 		}
 	}
 	for _, arrivals := range a.arrivals.ByClass() {
 		for _, arrival := range arrivals {
 			if now.Sub(arrival.AcceptedAt) < ArrivalWindowBoots*a.catalog.ShortestBoot() {
-				tasks[statecache.ResourcesOf(arrival.Spec)] += arrival.Tasks / ArrivalWindowBoots // average per boot time
+				tasks[demandOf(arrival.Spec)] += arrival.Tasks / ArrivalWindowBoots // average per boot time
 			}
 		}
 	}
@@ -45,6 +46,14 @@
 	return demands
 }
 
+// demandOf returns what a task needs of the free capacity in a capacity record, which has no
+// ReportBytes.
+func demandOf(spec *api.Job) sched.Resources {
+	need := statecache.ResourcesOf(spec)
+	need.ReportBytes = 0
+	return need
+}
+
 // compareResources orders resources by GPUs, then CPUs, then memory.
 func compareResources(a, b sched.Resources) int {
 	return slices.Compare([]float64{a.GPUs, a.CPUs, a.MemGB}, []float64{b.GPUs, b.CPUs, b.MemGB})
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"violetturn/internal/api"
 	"violetturn/internal/cloud"
 	"violetturn/internal/node"
 	"violetturn/internal/numeric"
@@ -82,5 +83,7 @@
 }
 
 func resourcesOf(machineType *cloud.MachineType) sched.Resources {
-	return sched.Resources{CPUs: machineType.CPUs, GPUs: machineType.GPUs, MemGB: machineType.MemGB}
+	return sched.Resources{
+		CPUs: machineType.CPUs, GPUs: machineType.GPUs, MemGB: machineType.MemGB, ReportBytes: api.MaxTasksBytes,
+	}
 }
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -124,8 +124,9 @@
 	if got := New(c.node).ShortestBoot(); got != 0 {
 		t.Errorf("shortest boot time without machine types is %v, want 0", got)
 	}
-	if size, found := c.MachineCapacity("large"); found == nil || size != (sched.Resources{CPUs: 16, GPUs: 2, MemGB: 64}) {
-		t.Errorf("machine type large has size %v and description %v, want 16 CPUs, 2 GPUs and 64 GB", size, found)
+	large := sched.Resources{CPUs: 16, GPUs: 2, MemGB: 64, ReportBytes: api.MaxTasksBytes}
+	if size, found := c.MachineCapacity("large"); found == nil || size != large {
+		t.Errorf("machine type large has size %v and description %v, want size %v", size, found, large)
 	}
 	if size, found := c.MachineCapacity("other"); found != nil || size != (sched.Resources{}) {
 		t.Errorf("unknown machine type has size %v and description %v, want none", size, found)
@@ -151,7 +152,8 @@
 		if boot := c.ShortestBoot(); boot != numeric.Duration(want) {
 			t.Errorf("boot time of %g s is %v, want %v", amount, boot, numeric.Duration(want))
 		}
-		if size, found := c.MachineCapacity("m"); size != (sched.Resources{CPUs: want, GPUs: want, MemGB: want}) || found.Price != want {
+		wantSize := sched.Resources{CPUs: want, GPUs: want, MemGB: want, ReportBytes: api.MaxTasksBytes}
+		if size, found := c.MachineCapacity("m"); size != wantSize || found.Price != want {
 			t.Errorf("capacities and price of %g are %v and %g, want %g", amount, size, found.Price, want)
 		}
 	}
--- a/internal/controller/message_size_test.go
+++ b/internal/controller/message_size_test.go
@@ -44,3 +44,23 @@
 			s.runningTasks(otherTask), worker.AgentEpoch, s.unsentHeartbeats)
 	}
 }
+
+// Guards against more tasks on a machine than its worker can report in 64 KiB: the worker sends no
+// heartbeat then, and loses all its tasks, those of other teams too (review, case 1). All tasks of the
+// array may end at the same time.
+func TestMachineGetsOnlyTasksThatItsHeartbeatHolds(t *testing.T) {
+	s, otherTask, host := newClusterWithOneMachine(t)
+	array := s.submitArray(2000, 20*time.Second, func(j *api.Job) { j.CPUs, j.GPUs, j.MemGB, j.Zone = 0.002, 0, 0.01, "x" })
+	maxTasks := api.MaxTasksBytes / s.environment.Jobs[array].Spec.TaskReportBytes()
+	s.runUntil(t, 600, "array done", func() bool {
+		if placed := len(s.nodes[0].state().Cache.Placements[host]); placed > maxTasks {
+			t.Fatalf("%d tasks are placed on the machine, want at most %d", placed, maxTasks)
+		}
+		return s.isDone(array)()
+	})
+	worker := s.environment.Cloud.WorkersByHost[host]
+	if s.runningTasks(otherTask) != 1 || worker.AgentEpoch != 1 || s.unsentHeartbeats != 0 {
+		t.Errorf("%d tasks of the other team run in agent epoch %d, %d heartbeats were too long; want 1 task, epoch 1 and none too long",
+			s.runningTasks(otherTask), worker.AgentEpoch, s.unsentHeartbeats)
+	}
+}
--- a/internal/golden/coverage_test.go
+++ b/internal/golden/coverage_test.go
@@ -54,7 +54,7 @@
 	}
 	for i := range v.NumField() {
 		field := v.Type().Field(i)
-		if !field.IsExported() {
+		if !field.IsExported() || field.Tag.Get("json") == "-" {
 			continue // it is not encoded
 		}
 		c[name][field.Name] = c[name][field.Name] || !v.Field(i).IsZero()
--- a/internal/sched/host_test.go
+++ b/internal/sched/host_test.go
@@ -10,7 +10,7 @@
 func drawResources(t *rapid.T, name string, maxHalves int) Resources {
 	t.Helper()
 	amount := func(kind string) float64 { return float64(rapid.IntRange(0, maxHalves).Draw(t, name+kind)) / 2 }
-	return Resources{amount("cpus"), amount("gpus"), amount("mem")}
+	return Resources{CPUs: amount("cpus"), GPUs: amount("gpus"), MemGB: amount("mem")}
 }
 
 // drawHosts draws up to six machines of the same size in two zones, with random free capacity.
@@ -18,7 +18,7 @@
 	t.Helper()
 	var hosts []*Host
 	for i := range rapid.IntRange(0, 6).Draw(t, "hosts") {
-		capacity := Resources{8, 4, 8}
+		capacity := Resources{CPUs: 8, GPUs: 4, MemGB: 8}
 		hosts = append(hosts, &Host{
 			Name:         fmt.Sprint("h", i),
 			MachineType:  "m",
--- a/internal/sched/rental.go
+++ b/internal/sched/rental.go
@@ -106,7 +106,7 @@
 	smallestNeed := unmet[0].Request.Need
 	for _, u := range unmet[1:] {
 		need := u.Request.Need
-		smallestNeed = Resources{min(smallestNeed.CPUs, need.CPUs), min(smallestNeed.GPUs, need.GPUs), min(smallestNeed.MemGB, need.MemGB)}
+		smallestNeed = smallestNeed.Min(need)
 	}
 	var fitting []*Host
 	for _, h := range hosts {
@@ -124,7 +124,7 @@
 func tasksPerMachine(capacity, need Resources) float64 {
 	tasks := float64(maxTasksPerMachine)
 	for _, amount := range [...]struct{ capacity, need float64 }{
-		{capacity.CPUs, need.CPUs}, {capacity.GPUs, need.GPUs}, {capacity.MemGB, need.MemGB},
+		{capacity.CPUs, need.CPUs}, {capacity.GPUs, need.GPUs}, {capacity.MemGB, need.MemGB}, {capacity.ReportBytes, need.ReportBytes},
 	} {
 		if amount.need > 0 {
 			tasks = min(tasks, math.Floor(amount.capacity/amount.need+epsilon))
--- a/internal/sched/rental_test.go
+++ b/internal/sched/rental_test.go
@@ -11,10 +11,10 @@
 // rented machine stays empty.
 func TestPlanRentalsCoversUnmetDemand(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		capacity := Resources{4, 2, 8}
+		capacity := Resources{CPUs: 4, GPUs: 2, MemGB: 8}
 		offers := []Offer{{"m", "x", false, capacity, 3}, {"m", "x", true, capacity, 1}, {"m", "y", false, capacity, 3}}
 		unmet := []UnmetDemand{{
-			Request: TaskRequest{Need: Resources{1, 1, 1}, AllowSpot: rapid.Bool().Draw(t, "spot")},
+			Request: TaskRequest{Need: Resources{CPUs: 1, GPUs: 1, MemGB: 1}, AllowSpot: rapid.Bool().Draw(t, "spot")},
 			Count:   rapid.IntRange(0, 9).Draw(t, "count"),
 		}}
 		provisioning := []*Host{}
--- a/internal/scheduler/hosts.go
+++ b/internal/scheduler/hosts.go
@@ -54,6 +54,7 @@
 			free, size, ok = s.capacityCalculator.FreeOnMachine(name, now)
 		} else {
 			free, ok = view.offered[name]
+			free.ReportBytes = s.capacityCalculator.FreeReportBytes(name)
 			size, _ = s.catalog.MachineCapacity(machine.MachineType)
 		}
 		if !ok {
@@ -82,17 +83,12 @@
 // smallestRequest returns the least amount of each resource that any task to be placed requests. No
 // task fits on a machine with less free capacity.
 func smallestRequest(queue []*queueEntry) sched.Resources {
-	smallest := sched.Resources{CPUs: math.Inf(1), GPUs: math.Inf(1), MemGB: math.Inf(1)}
+	smallest := sched.Resources{CPUs: math.Inf(1), GPUs: math.Inf(1), MemGB: math.Inf(1), ReportBytes: math.Inf(1)}
 	for _, entry := range queue {
 		if len(entry.job.PendingTasks()) == 0 {
 			continue
 		}
-		need := statecache.ResourcesOf(&entry.job.Record.Spec)
-		smallest = sched.Resources{
-			CPUs:  min(smallest.CPUs, need.CPUs),
-			GPUs:  min(smallest.GPUs, need.GPUs),
-			MemGB: min(smallest.MemGB, need.MemGB),
-		}
+		smallest = smallest.Min(statecache.ResourcesOf(&entry.job.Record.Spec))
 	}
 	return smallest
 }
--- a/internal/statecache/job.go
+++ b/internal/statecache/job.go
@@ -126,7 +126,7 @@
 
 // ResourcesOf returns the resources that a task of a job uses.
 func ResourcesOf(spec *api.Job) sched.Resources {
-	return sched.Resources{CPUs: spec.CPUs, GPUs: spec.GPUs, MemGB: spec.MemGB}
+	return sched.Resources{CPUs: spec.CPUs, GPUs: spec.GPUs, MemGB: spec.MemGB, ReportBytes: float64(spec.TaskReportBytes())}
 }
 
 // TaskRequestOf returns the requirements of a task of a job on its machine.
