Ended attempts are cleared only once copies of their launches are dropped

What callers would see: a cancelled task runs again, or a moved task runs on two machines, after a copy of a response that launched it reaches the worker.

Cause: a worker forgets an attempt that it was told to clear, and starts it again when a launch is repeated. The token of the response that cleared it was that of the response that had launched it, so a copy of the latter was accepted. PROTOCOL says that a worker drops responses after 4 s; a copy from the network is not covered by that.

Change: an attempt is cleared only under a token that is higher than that of the last response that launched a task on the machine. A raise makes the next one ineffective for half a lease, so clears wait otherwise, as an ended attempt uses nothing.

--- a/internal/agent/command_set.go
+++ b/internal/agent/command_set.go
@@ -13,6 +13,10 @@
 // digits and by a spot notice.
 const reportMarginBytes = 256
 
+// maxHeldClears is the number of ended attempts in a heartbeat above which they are cleared even if
+// that takes a raise of the worker's token.
+const maxHeldClears = 16
+
 // Urgency orders the commands that stop tasks. A lower value is sent first.
 type Urgency int
 
@@ -117,14 +121,28 @@
 	if stop.command.EncodedBytes()+clearing.EncodedBytes() > s.messageBytes {
 		return false
 	}
+	s.fenceLaunches()
 	s.add(&stop.command)
 	s.add(&clearing)
 	s.reportBytes += api.TaskEntryBytes(stop.command.Task) + api.EndedEntryGrowth - growth
 	return true
 }
 
-// SelectClears selects the added clear commands that fit into the message.
-func (s *CommandSet) SelectClears() {
+// fenceLaunches raises the worker's token unless its launches are fenced.
+func (s *CommandSet) fenceLaunches() {
+	if !s.worker.LaunchesFenced() {
+		s.worker.RaiseToken(s.now)
+	}
+}
+
+// SelectClears selects the added clear commands that fit into the message. A raise of the token makes
+// the next ones within half a lease ineffective, so clears wait for one that is made for launches,
+// unless there are many of them or atOnce is set.
+func (s *CommandSet) SelectClears(atOnce bool) {
+	if len(s.clears) == 0 || !s.worker.LaunchesFenced() && len(s.clears) <= maxHeldClears && !atOnce {
+		return
+	}
+	s.fenceLaunches()
 	slices.SortFunc(s.clears, func(a, b AttemptID) int {
 		return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Attempt, b.Attempt))
 	})
@@ -159,6 +177,7 @@
 		return MessageFull
 	}
 	s.reportBytes -= entryBytes
+	s.worker.RecordLaunch()
 	return LaunchSelected
 }
 
--- a/internal/agent/direct_commands.go
+++ b/internal/agent/direct_commands.go
@@ -145,6 +145,7 @@
 		}
 		agent.RaiseToken(now)
 	}
+	immediate.commands.SelectClears(false)
 	batch = api.CommandBatch{AgentEpoch: agent.Heartbeat.AgentEpoch, Commands: immediate.commands.Commands()}
 	return batch, immediate.commands.Deferred(), true
 }
--- a/internal/agent/immediate_commands.go
+++ b/internal/agent/immediate_commands.go
@@ -46,6 +46,5 @@
 		}
 	}
 	immediate.hasStops = immediate.commands.SelectStops()
-	immediate.commands.SelectClears()
 	return immediate
 }
--- a/internal/api/message_size.go
+++ b/internal/api/message_size.go
@@ -26,13 +26,22 @@
 // stopped, so the space for their ends is not reserved: the commands that launch and stop them keep
 // within what the heartbeats can show.
 func (j *Job) TaskReportBytes() int {
-	bytes := TaskEntryBytes(TaskName(j.UID, max(j.Tasks-1, 0))) + attemptBytes
+	bytes := taskEntryBytes + len(j.UID) + len("/") + decimalDigits(j.Tasks-1) + attemptBytes
 	if j.Kind != Service {
 		bytes += EndedEntryGrowth
 	}
 	return bytes
 }
 
+// decimalDigits returns the number of digits of a number that is not negative.
+func decimalDigits(n int) int {
+	digits := 1
+	for ; n >= 10; n /= 10 {
+		digits++
+	}
+	return digits
+}
+
 // TaskEntryBytes returns the space that a task which has not ended takes in a heartbeat, without the
 // digits of its attempt.
 func TaskEntryBytes(task string) int { return taskEntryBytes + len(task) }
--- a/internal/reconcile/comparison.go
+++ b/internal/reconcile/comparison.go
@@ -72,7 +72,7 @@
 	}
 	c.removeUncommitted()
 	c.commands.SelectStops()
-	c.commands.SelectClears()
+	c.commands.SelectClears(c.relaunchesReportedTask())
 	// The capacity of tasks whose stops were left out is not free yet, and stops take precedence over
 	// launches in the next response too.
 	if !c.commands.Deferred() {
@@ -248,6 +248,19 @@
 	}
 }
 
+// relaunchesReportedTask reports whether a task is to be launched of which the worker still reports
+// another attempt. Workers may refuse a task of which they know another attempt.
+func (c *comparison) relaunchesReportedTask() bool {
+	if len(c.launches) == 0 {
+		return false
+	}
+	tasks := make(map[string]bool, len(c.reported))
+	for attempt := range c.reported {
+		tasks[attempt.Task] = true
+	}
+	return slices.ContainsFunc(c.launches, func(task committedTask) bool { return tasks[task.attempt.Task] })
+}
+
 // launchTasks launches committed tasks that are not on the machine yet. Launches are the last
 // commands, and only tasks that fit the free capacity are launched: a task that replaces another
 // one waits until that has finished saving.
