--- a/internal/agent/command_set.go
+++ b/internal/agent/command_set.go
@@ -69,7 +69,7 @@
 }
 
 // ReserveEnd reserves the space for the end of a task that may end before the next heartbeat.
-func (s *CommandSet) ReserveEnd() { s.reportBytes -= api.EndedEntryGrowth }
+func (s *CommandSet) ReserveEnd() { s.reportBytes -= api.EndGrowth }
 
 // AddStop adds the command that stops a reported task. endReserved is true if ReserveEnd was called
 // for the task.
@@ -102,10 +102,15 @@
 // selectStop selects a stop command if the message and the next heartbeat have space for it. If only
 // the heartbeat has none, and nothing needs the task's end, the task is cleared in the same message.
 func (s *CommandSet) selectStop(stop *stopRequest) bool {
-	growth := api.EndedEntryGrowth
+	endsAtOnce := stop.command.GraceS == nil || *stop.command.GraceS == 0
+	reserved, growth := 0, api.SavedEndGrowth
 	if stop.endReserved {
-		growth = 0
+		reserved = api.EndGrowth
+	}
+	if endsAtOnce {
+		growth = api.EndGrowth
 	}
+	growth -= reserved
 	if s.reportBytes >= growth {
 		if !s.add(&stop.command) {
 			return false
@@ -113,7 +118,6 @@
 		s.reportBytes -= growth
 		return true
 	}
-	endsAtOnce := stop.command.GraceS == nil || *stop.command.GraceS == 0
 	if stop.urgency != StopRemoved || !endsAtOnce {
 		return false
 	}
@@ -124,7 +128,7 @@
 	s.fenceLaunches()
 	s.add(&stop.command)
 	s.add(&clearing)
-	s.reportBytes += api.TaskEntryBytes(stop.command.Task) + api.EndedEntryGrowth - growth
+	s.reportBytes += api.TaskEntryBytes(stop.command.Task) + reserved
 	return true
 }
 
@@ -137,9 +141,10 @@
 
 // SelectClears selects the added clear commands that fit into the message. A raise of the token makes
 // the next ones within half a lease ineffective, so clears wait for one that is made for launches,
-// unless there are many of them or atOnce is set.
+// unless there are many of them, the next heartbeat has less than half its space left, or atOnce is set.
 func (s *CommandSet) SelectClears(atOnce bool) {
-	if len(s.clears) == 0 || !s.worker.LaunchesFenced() && len(s.clears) <= maxHeldClears && !atOnce {
+	mayWait := len(s.clears) <= maxHeldClears && s.reportBytes > api.MaxMessageBytes/2 && !atOnce
+	if len(s.clears) == 0 || mayWait && !s.worker.LaunchesFenced() {
 		return
 	}
 	s.fenceLaunches()
@@ -169,7 +174,7 @@
 // SelectLaunch selects the command that launches an attempt, if there is space for it.
 func (s *CommandSet) SelectLaunch(attempt AttemptID) LaunchSelection {
 	command := attempt.Command(api.Launch)
-	entryBytes := api.TaskEntryBytes(attempt.Task) + api.EndedEntryGrowth
+	entryBytes := api.TaskEntryBytes(attempt.Task) + api.EndGrowth
 	if s.reportBytes < entryBytes {
 		return ReportFull
 	}
@@ -192,9 +197,12 @@
 	return true
 }
 
+// startupIntervals is the number of heartbeat intervals after its start in which a replica may still
+// fail because its job was submitted with a mistake.
+const startupIntervals = 2
+
 // MayEndBeforeNextHeartbeat reports whether a task on a worker may end without a command before its
-// next heartbeat. Replicas of services run on; they count as long as they may still fail because their
-// job was submitted with a mistake, which shows soon after their start.
+// next heartbeat. Replicas of services run on, and so count only for some intervals after their start.
 func (r *Registry) MayEndBeforeNextHeartbeat(
 	worker *Agent, placementKey string, attempt AttemptID, j *statecache.Job, phase api.TaskPhase, now time.Time,
 ) bool {
@@ -205,5 +213,5 @@
 		return true
 	}
 	firstRun, known := worker.FirstRuns[placementKey]
-	return !known || firstRun.Attempt != attempt.Attempt || now.Sub(firstRun.At) < r.node.Settings.WorkerLease()
+	return !known || firstRun.Attempt != attempt.Attempt || now.Sub(firstRun.At) < startupIntervals*r.node.Settings.HeartbeatInterval()
 }
--- a/internal/api/message_size.go
+++ b/internal/api/message_size.go
@@ -14,9 +14,12 @@
 	heartbeatHeaderBytes = 1 << 10
 )
 
-// EndedEntryGrowth is the number of bytes by which the entry of a task in a heartbeat grows when the
-// task ends.
-const EndedEntryGrowth = len(`,"cause":"mates_gone","saved":true`)
+// Numbers of bytes by which the entry of a task in a heartbeat grows when the task ends: by itself or
+// stopped without saving, and stopped after it has saved its progress.
+const (
+	EndGrowth      = len(`,"cause":"mates_gone"`)
+	SavedEndGrowth = len(`,"cause":"stopped","saved":true`)
+)
 
 // MaxTasksBytes is the space that the tasks of a machine may take in the heartbeats of its worker.
 const MaxTasksBytes = MaxMessageBytes - heartbeatHeaderBytes
@@ -28,7 +31,7 @@
 func (j *Job) TaskReportBytes() int {
 	bytes := taskEntryBytes + len(j.UID) + len("/") + decimalDigits(j.Tasks-1) + attemptBytes
 	if j.Kind != Service {
-		bytes += EndedEntryGrowth
+		bytes += EndGrowth
 	}
 	return bytes
 }
@@ -50,7 +53,7 @@
 func (t *TaskState) entryBytes() int {
 	bytes := TaskEntryBytes(t.Task) + len(strconv.FormatUint(t.Attempt, 10))
 	if t.Phase == TaskEnded {
-		bytes += EndedEntryGrowth
+		bytes += SavedEndGrowth
 	}
 	return bytes
 }
