Transactions hold 64 KiB also where submissions are long

What callers would see: users whose submissions were committed together got 503 again and again, and decisions about their jobs stopped; the controller logged lowered limits of the state service, which it had not.

Cause: a batch of submissions was limited in number, not in bytes (ten records of up to 14 KiB with values of 16 KiB); an edited record counted 768 bytes, however long the submission in it; copies of task ranges were not counted.

Change: batches, edited main records and copied ranges count their bytes. The first change of a transaction always fits. A stop whose task's end is reserved in the heartbeat only needs space that is left now.

The simulated state service checks the size of whole transactions.

--- a/internal/agent/command_set.go
+++ b/internal/agent/command_set.go
@@ -50,7 +50,8 @@
 	now    time.Time
 
 	messageBytes int // space left in the message
-	reportBytes  int // space left in the next heartbeat, without the reserved ends of tasks
+	reportBytes  int // space left in the next heartbeat
+	reserved     int // part of reportBytes that tasks need which may end by themselves
 	stops        []stopRequest
 	clears       []AttemptID
 	selected     []api.Command
@@ -69,7 +70,7 @@
 }
 
 // ReserveEnd reserves the space for the end of a task that may end before the next heartbeat.
-func (s *CommandSet) ReserveEnd() { s.reportBytes -= api.EndGrowth }
+func (s *CommandSet) ReserveEnd() { s.reserved += api.EndGrowth }
 
 // AddStop adds the command that stops a reported task. endReserved is true if ReserveEnd was called
 // for the task.
@@ -103,19 +104,20 @@
 // the heartbeat has none, and nothing needs the task's end, the task is cleared in the same message.
 func (s *CommandSet) selectStop(stop *stopRequest) bool {
 	endsAtOnce := stop.command.GraceS == nil || *stop.command.GraceS == 0
-	reserved, growth := 0, api.SavedEndGrowth
-	if stop.endReserved {
-		reserved = api.EndGrowth
-	}
+	growth := api.SavedEndGrowth
 	if endsAtOnce {
 		growth = api.EndGrowth
 	}
-	growth -= reserved
-	if s.reportBytes >= growth {
+	available := s.reportBytes
+	if !stop.endReserved {
+		available -= s.reserved
+	}
+	if available >= growth {
 		if !s.add(&stop.command) {
 			return false
 		}
 		s.reportBytes -= growth
+		s.releaseReserve(stop)
 		return true
 	}
 	if stop.urgency != StopRemoved || !endsAtOnce {
@@ -128,10 +130,18 @@
 	s.fenceLaunches()
 	s.add(&stop.command)
 	s.add(&clearing)
-	s.reportBytes += api.TaskEntryBytes(stop.command.Task) + reserved
+	s.reportBytes += api.TaskEntryBytes(stop.command.Task)
+	s.releaseReserve(stop)
 	return true
 }
 
+// releaseReserve releases the space reserved for the end of a task that is being stopped.
+func (s *CommandSet) releaseReserve(stop *stopRequest) {
+	if stop.endReserved {
+		s.reserved -= api.EndGrowth
+	}
+}
+
 // fenceLaunches raises the worker's token unless its launches are fenced.
 func (s *CommandSet) fenceLaunches() {
 	if !s.worker.LaunchesFenced() {
@@ -175,7 +185,7 @@
 func (s *CommandSet) SelectLaunch(attempt AttemptID) LaunchSelection {
 	command := attempt.Command(api.Launch)
 	entryBytes := api.TaskEntryBytes(attempt.Task) + api.EndGrowth
-	if s.reportBytes < entryBytes {
+	if s.reportBytes-s.reserved < entryBytes {
 		return ReportFull
 	}
 	if !s.add(&command) {
--- a/internal/decisions/gangs.go
+++ b/internal/decisions/gangs.go
@@ -90,7 +90,7 @@
 		if s.Schema.TasksBlocked(j) || j.Record.Gang == nil {
 			continue
 		}
-		if editor.IsFull(minGangUpdateWrites, 0) {
+		if editor.IsFull(minGangUpdateWrites, 0, j) {
 			plan.more = true
 			break
 		}
--- a/internal/decisions/machine_pages.go
+++ b/internal/decisions/machine_pages.go
@@ -9,10 +9,6 @@
 	"violetturn/internal/statecache"
 )
 
-// maxPageBytesPerTransaction limits the total size of the machine pages in a transaction. PROTOCOL
-// allows 64 KiB for the whole transaction; the rest is for keys, preconditions and JSON syntax.
-const maxPageBytesPerTransaction = 48 << 10
-
 // pageEdits collects edits of machine pages for one transaction.
 type pageEdits struct {
 	schema         *schema.State
@@ -28,7 +24,7 @@
 		schema:         s.Schema,
 		transaction:    statecache.NewTransaction(),
 		pages:          map[string]shard.MachinePage{},
-		maxBytesToOpen: maxPageBytesPerTransaction - int(info.Settings.Facts.State.ValueKB*1024),
+		maxBytesToOpen: statecache.MaxTransactionBytes - int(info.Settings.Facts.State.ValueKB*1024),
 	}
 }
 
--- a/internal/decisions/preemptions.go
+++ b/internal/decisions/preemptions.go
@@ -55,7 +55,7 @@
 		if !s.Scheduler.CanStop(j, task) {
 			continue
 		}
-		if cost := editor.StopCost(j, task); cost > 0 && editor.IsFull(cost, 0) {
+		if cost := editor.StopCost(j, task); cost > 0 && editor.IsFull(cost, 0, j) {
 			plan.remaining = tasks[i:]
 			break
 		}
--- a/internal/decisions/task_ends.go
+++ b/internal/decisions/task_ends.go
@@ -52,7 +52,7 @@
 		if j.Record.Spec.Kind == api.Gang || s.Schema.TasksBlocked(j) || !s.Scheduler.ShouldCommitEnds(id, ends[id], now) {
 			continue
 		}
-		if editor.IsFull(taskEndsCost(j), 0) {
+		if editor.IsFull(taskEndsCost(j), 0, j) {
 			plan.more = true
 			break
 		}
--- a/internal/frontend/responses_test.go
+++ b/internal/frontend/responses_test.go
@@ -131,7 +131,7 @@
 	{"health by another method", nil, "POST", "/healthz", nil, 405, methodNotAllowedBody, 0},
 	{"heartbeat by another method", nil, "GET", "/checkin", nil, 405, methodNotAllowedBody, 0},
 	{"heartbeat without a host", nil, "POST", "/checkin", []byte(`{}`), 400, `{"error":"host or tenure missing"}`, 0},
-	{"heartbeat that is no JSON", nil, "POST", "/checkin", []byte(`{`), 400, `{"error":"unexpected end of JSON input"}`, 0},
+	{"heartbeat that is no JSON", nil, "POST", "/checkin", []byte(`{`), 400, `{"error":"malformed heartbeat"}`, 0},
 	{"unknown path", nil, "GET", "/v2", nil, 404, unknownPathBody, 0},
 	{"unknown path below a job", nil, "GET", "/v2/runs/run-000100/log", nil, 404, unknownPathBody, 0},
 	{"submission by another method", nil, "GET", "/v2/runs", nil, 405, methodNotAllowedBody, 0},
--- a/internal/frontend/submission_queue.go
+++ b/internal/frontend/submission_queue.go
@@ -18,6 +18,7 @@
 type Submission struct {
 	Ctx      context.Context // context of the user's request
 	Record   *job.Record
+	Bytes    int                     // size of the record
 	Response chan transport.Response // buffered: sending the one response does not block without a receiver
 }
 
@@ -48,18 +49,21 @@
 }
 
 // nextBatch removes the next batch to commit from the queue and returns it. The batch has at most
-// maxSize submissions, and at most one for each job.
+// maxSize submissions, at most one for each job, and records that fit into one transaction.
 func (q *submissionQueue) nextBatch(maxSize int) []*Submission {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	var batch, remaining []*Submission
+	bytes := 0
 	for _, s := range q.waiting {
 		if s.Ctx.Err() != nil {
 			continue // the user was asked to retry and may already do so on another controller
 		}
 		sameJob := func(other *Submission) bool { return other.Record.Spec.UID == s.Record.Spec.UID }
-		if len(batch) < maxSize && !slices.ContainsFunc(batch, sameJob) {
+		fits := len(batch) == 0 || len(batch) < maxSize && bytes+s.Bytes <= statecache.MaxTransactionBytes
+		if fits && !slices.ContainsFunc(batch, sameJob) {
 			batch = append(batch, s)
+			bytes += s.Bytes
 		} else {
 			remaining = append(remaining, s)
 		}
--- a/internal/frontend/submission_queue_test.go
+++ b/internal/frontend/submission_queue_test.go
@@ -49,6 +49,28 @@
 	}
 }
 
+// Guards against a batch of large submissions that exceeds the 64 KiB of a transaction: it was refused
+// again and again, and its users with it.
+func TestNextBatchFitsIntoOneTransaction(t *testing.T) {
+	const records, recordBytes = 20, 14 << 10
+	var q submissionQueue
+	for i := range records {
+		s := newSubmission(t.Context(), api.TaskName("a", i), api.Array)
+		s.Bytes = recordBytes
+		q.add(s)
+	}
+	total := 0
+	for batch := q.nextBatch(records); len(batch) > 0; batch = q.nextBatch(records) {
+		if bytes := len(batch) * recordBytes; bytes > statecache.MaxTransactionBytes {
+			t.Errorf("batch of %d records has %d bytes, want at most %d", len(batch), bytes, statecache.MaxTransactionBytes)
+		}
+		total += len(batch)
+	}
+	if total != records {
+		t.Errorf("the batches contain %d submissions, want %d", total, records)
+	}
+}
+
 // Exactly one caller of add has to commit until the queue is empty. A full queue accepts no more
 // submissions.
 func TestAddSelectsOneCommitterAndRejectsWhenFull(t *testing.T) {
--- a/internal/frontend/submissions.go
+++ b/internal/frontend/submissions.go
@@ -34,11 +34,11 @@
 	if !f.sync.StoreReachable() || !f.acceptsKind(spec.Kind) {
 		return respond.Busy
 	}
-	record, err := f.newRecord(spec)
+	record, bytes, err := f.newRecord(spec)
 	if err != nil {
 		return f.stateOrError(ctx, spec.UID, err)
 	}
-	return f.commitSubmission(&Submission{Ctx: ctx, Record: record, Response: make(chan transport.Response, 1)})
+	return f.commitSubmission(&Submission{Ctx: ctx, Record: record, Bytes: bytes, Response: make(chan transport.Response, 1)})
 }
 
 // stateOrError returns the response with the state of a job, or the response to rejection if the
@@ -76,16 +76,16 @@
 	return kind != api.Gang || state.Schema.AllUpgraded()
 }
 
-// newRecord returns the record of a job that is accepted now. It returns errSubmissionTooLong if
-// the record is too large to grow later.
-func (f *Frontend) newRecord(spec *api.Job) (*job.Record, error) {
-	record := &job.Record{Spec: *spec, Shard: f.node.Settings.HostName, AcceptedMS: f.node.Now().UnixMilli()}
-	size := len(api.MustMarshal(record))
+// newRecord returns the record of a job that is accepted now, and its size. It returns
+// errSubmissionTooLong if the record is too large to grow later.
+func (f *Frontend) newRecord(spec *api.Job) (record *job.Record, size int, err error) {
+	record = &job.Record{Spec: *spec, Shard: f.node.Settings.HostName, AcceptedMS: f.node.Now().UnixMilli()}
+	size = len(api.MustMarshal(record))
 	state := f.guard.Lock()
 	defer f.guard.Unlock()
 	if size > state.Schema.MaxGrowableBytes() {
-		return nil, errSubmissionTooLong
+		return nil, 0, errSubmissionTooLong
 	}
 	record.ChooseLayout(f.node.Settings.LowestLimits().ValueKB, size, state.Schema.AllUpgraded())
-	return record, nil
+	return record, size, nil
 }
--- a/internal/scheduler/gang_claim.go
+++ b/internal/scheduler/gang_claim.go
@@ -83,7 +83,7 @@
 		return placementRefused
 	}
 	writes := pendingClaim.Writes() + t.editor.RangeCost(t.job, placement.RangeIndex)
-	if writes > 0 && t.editor.IsFull(writes, t.claims.Writes()) {
+	if writes > 0 && t.editor.IsFull(writes, t.claims.Writes(), t.job) {
 		return transactionFull
 	}
 	pendingClaim.Apply()
--- a/internal/scheduler/gang_updates.go
+++ b/internal/scheduler/gang_updates.go
@@ -144,5 +144,5 @@
 // isFullFor reports whether the transaction has no space for a change of a task range.
 func (u *gangUpdate) isFullFor(rangeIndex int) bool {
 	writes := u.editor.RangeCost(u.job, rangeIndex)
-	return writes > 0 && u.editor.IsFull(writes, 0)
+	return writes > 0 && u.editor.IsFull(writes, 0, u.job)
 }
--- a/internal/scheduler/placement_transaction.go
+++ b/internal/scheduler/placement_transaction.go
@@ -110,17 +110,19 @@
 	if job.Record.Spec.SingleZone && job.Record.Zone == "" {
 		writes++
 	}
+	jobs := []*statecache.Job{job}
 	for _, victim := range placement.Victims {
 		victimJob := t.scheduler.cache.Jobs[victim.UID]
 		if !t.scheduler.CanStop(victimJob, victim) {
 			return placementRefused // the victim may have ended and left its capacity free
 		}
 		writes += t.editor.StopCost(victimJob, victim)
+		jobs = append(jobs, victimJob)
 	}
 	if t.editor.Writes == 0 && len(placement.Victims) > 0 && writes > t.scheduler.schema.TransactionLimits().TxnOps {
 		return placementTooLarge
 	}
-	if writes > 0 && t.editor.IsFull(writes, t.claims.Writes()) {
+	if writes > 0 && t.editor.IsFull(writes, t.claims.Writes(), jobs...) {
 		return transactionFull
 	}
 	pendingClaim.Apply()
--- a/internal/schema/editor.go
+++ b/internal/schema/editor.go
@@ -6,17 +6,12 @@
 )
 
 // Limits that the state service sets on one transaction in addition to those of the settings
-// (PROTOCOL): four preconditions for each change, and 64 KiB. A quarter of the 64 KiB is reserved
-// for bytes that the estimates below leave out.
-const (
-	preconditionsPerWrite = 4
-	maxTransactionBytes   = 48 << 10
-)
+// (PROTOCOL): four preconditions for each change, and statecache.MaxTransactionBytes.
+const preconditionsPerWrite = 4
 
 // Estimated sizes in bytes of the parts of a transaction, rounded up.
 const (
 	writeBytes     = 512 // a change with its precondition, without the record
-	inlineJobBytes = 768 // a main record that contains its task range
 	placementBytes = 64
 )
 
@@ -147,8 +142,9 @@
 }
 
 // IsFull reports whether the transaction would exceed its limits with extraWrites more writes of
-// job records and otherRecords writes of other records.
-func (e *Editor) IsFull(extraWrites, otherRecords int) bool {
+// records of the given jobs and otherRecords writes of other records. The first change of an editor
+// always fits.
+func (e *Editor) IsFull(extraWrites, otherRecords int, jobs ...*statecache.Job) bool {
 	limits := e.schema.TransactionLimits()
 	if e.Writes+extraWrites+otherRecords > e.MaxWrites {
 		return true
@@ -156,19 +152,42 @@
 	if e.Txn.Preconditions()+2*extraWrites+otherRecords > preconditionsPerWrite*limits.TxnOps {
 		return true
 	}
+	if e.Writes == 0 {
+		return false
+	}
 	const largeRecords = 2 // at most this many of the other records are as large as a value may be
-	size := e.rangeBytes() + writeBytes*float64(e.Writes+extraWrites)
-	return size+limits.ValueKB*bytesPerKB*float64(min(otherRecords, largeRecords)) > maxTransactionBytes
+	size := e.rangeBytes() + e.mainRecordBytes(jobs) + writeBytes*float64(e.Writes+extraWrites)
+	return size+limits.ValueKB*bytesPerKB*float64(min(otherRecords, largeRecords)) > statecache.MaxTransactionBytes
+}
+
+// mainRecordBytes returns the bytes of the main records that are written when jobs are edited too.
+func (e *Editor) mainRecordBytes(jobs []*statecache.Job) float64 {
+	size := 0
+	for uid, record := range e.Records {
+		if record != nil {
+			size += e.editedJobs[uid].Size
+		}
+	}
+	seen := map[string]bool{}
+	for _, j := range jobs {
+		uid := j.Record.Spec.UID
+		if _, edited := e.Records[uid]; !edited && !seen[uid] {
+			seen[uid] = true
+			size += j.Size
+		}
+	}
+	return float64(size)
 }
 
 // rangeBytes estimates the bytes of the edited task ranges.
 func (e *Editor) rangeBytes() float64 {
 	size := 0.0
 	for id, tasks := range e.editedRanges {
-		size += float64(placementBytes*len(tasks.Placements) + len(tasks.DoneBits))
-		if e.editedJobs[id.UID].Record.Inline {
-			size += inlineJobBytes
+		placements := len(tasks.Placements)
+		if j := e.editedJobs[id.UID]; j.Record.Inline {
+			placements -= j.CountPlaced() // mainRecordBytes includes the range as it was
 		}
+		size += float64(placementBytes*max(placements, 0) + len(tasks.DoneBits))
 	}
 	return size
 }
--- a/internal/simulator/state_client.go
+++ b/internal/simulator/state_client.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"violetturn/internal/api"
 	"violetturn/internal/store"
 )
 
@@ -90,6 +91,7 @@
 	if len(t.Writes) > c.TxnOps || len(t.Preconditions) > maxPreconditionsPerWrite*c.TxnOps {
 		c.Store.env.RecordViolation(RuleLimits, "transaction has %d writes and %d preconditions", len(t.Writes), len(t.Preconditions))
 	}
+	c.Store.env.checkLength("transaction", len(api.MustMarshal(t)))
 	for _, write := range t.Writes {
 		if len(write.Value) > c.MaxValueBytes {
 			c.Store.env.RecordViolation(RuleLimits, "value of key %q has %d bytes", write.WriteKey, len(write.Value))
--- a/internal/simulator/worker_heartbeat.go
+++ b/internal/simulator/worker_heartbeat.go
@@ -90,8 +90,8 @@
 	w.execute(batch.Commands)
 }
 
-// checkLength records a violation if an encoded message to a worker is longer than PROTOCOL allows, and
-// reports whether the worker accepts it.
+// checkLength records a violation if an encoded message is longer than PROTOCOL allows, and reports
+// whether its receiver accepts it.
 func (e *Environment) checkLength(message string, length int) bool {
 	if length <= api.MaxMessageBytes {
 		return true
--- a/internal/splitter/splitter.go
+++ b/internal/splitter/splitter.go
@@ -155,6 +155,9 @@
 		t.Require(key, version)
 		tasks := j.Ranges[index].Record.Slice(slice*size, min(size, length-slice*size))
 		t.Put(statecache.TaskRangeKey(uid, destination.Generation, destination.Index), tasks)
+		if t.Bytes() > statecache.MaxTransactionBytes {
+			return false
+		}
 	}
 	return true
 }
--- a/internal/statecache/transaction.go
+++ b/internal/statecache/transaction.go
@@ -9,6 +9,11 @@
 	"violetturn/internal/store"
 )
 
+// MaxTransactionBytes is the size of the written records above which nothing is added to a
+// transaction. PROTOCOL allows 64 KiB; the rest is reserved for keys, preconditions, JSON syntax and
+// what estimates leave out.
+const MaxTransactionBytes = 48 << 10
+
 // Transaction collects the preconditions and writes of one compare-and-swap, with the writes in
 // the order in which they are added. Create it with NewTransaction.
 type Transaction struct {
@@ -97,6 +102,15 @@
 // Size returns the size in bytes of the record to be written under a key; 0 if there is no write.
 func (t *Transaction) Size(key string) int { return len(t.writes[key]) }
 
+// Bytes returns the total size in bytes of the records to be written.
+func (t *Transaction) Bytes() int {
+	bytes := 0
+	for _, value := range t.writes {
+		bytes += len(value)
+	}
+	return bytes
+}
+
 // Keys returns the keys of the writes, in order. A key may occur twice.
 func (t *Transaction) Keys() []string { return t.changedKeys }
 
