Full machine pages add no preconditions to a registration

Cause: a page was made a precondition when it was opened, also if no machine was registered in it because it was full. A machine page with space left waited for as long as others were full.

Change: only pages that are written are preconditions.

Evidence: TestFullPagesHaveNoPreconditions fails if pages are required when they are opened.

--- a/internal/decisions/decisions_test.go
+++ b/internal/decisions/decisions_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -191,6 +192,23 @@
 	}
 }
 
+// Guards against more preconditions than the state service takes: full pages, in which no machine is
+// registered, have none.
+func TestFullPagesHaveNoPreconditions(t *testing.T) {
+	f := newFixture(t)
+	for i := range 10 {
+		host := fmt.Sprintf("i-%03d0", i)
+		machine := shard.Machine{MachineType: strings.Repeat("m", f.state.Schema.MaxPageBytes()), Zone: "x"}
+		f.state.Agents.Unregistered().SetRented(host, machine)
+	}
+	f.state.Agents.Unregistered().SetRented("i-9990", shard.Machine{MachineType: "m", Zone: "x"})
+	plan := planRegistrations(f.state, f.node, f.now)
+	if len(plan.refused) != 10 || len(plan.hosts) != 1 || plan.transaction.Preconditions() != 1 {
+		t.Errorf("%d machines refused, %v registered with %d preconditions; want 10, one machine and one precondition",
+			len(plan.refused), plan.hosts, plan.transaction.Preconditions())
+	}
+}
+
 // A page that is already among the changed ones is returned again; no further page is opened once
 // the changed pages exceed the size limit.
 func TestPageEditsLimitOpenPages(t *testing.T) {
--- a/internal/decisions/machine_pages.go
+++ b/internal/decisions/machine_pages.go
@@ -37,15 +37,16 @@
 	if len(e.pages) >= e.schema.MaxWrites() || len(e.pages) > 0 && e.bytes > e.maxBytesToOpen {
 		return nil, false
 	}
-	_, page = e.schema.EditPage(e.transaction, host)
-	return page, true
+	return e.schema.CopyPage(host), true
 }
 
-// add adds the page of a machine to the changed pages.
+// add adds the page of a machine to the changed pages. Only these have preconditions, whose number is
+// limited by that of the writes.
 func (e *pageEdits) add(host string, page shard.MachinePage) {
 	id := e.schema.PageIDFor(host)
 	if _, added := e.pages[id]; !added {
 		e.pages[id] = page
+		e.schema.RequirePage(e.transaction, host)
 		e.bytes += len(api.MustMarshal(page))
 	}
 }
--- a/internal/schema/pages.go
+++ b/internal/schema/pages.go
@@ -26,29 +26,42 @@
 	return statecache.PageID(host, statecache.FinestPageSuffixLen)
 }
 
-// EditPage returns the ID and a copy of a machine's page, which the caller may change, and adds
-// preconditions on the versions that the copy is based on. A new fine page starts with the entries
-// of its machines in the coarser page, and supersedes the coarser page for them once it is written.
-func (s *State) EditPage(txn *statecache.Transaction, host string) (id string, page shard.MachinePage) {
-	id = s.PageIDFor(host)
-	txn.Require(statecache.MachinePageKey(id), s.cache.Pages[id].Version)
-	page = shard.MachinePage{}
+// CopyPage returns a copy of a machine's page, which the caller may change. A new fine page starts
+// with the entries of its machines in the coarser page, and supersedes the coarser page for them once
+// it is written.
+func (s *State) CopyPage(host string) shard.MachinePage {
+	id, page := s.PageIDFor(host), shard.MachinePage{}
 	if recorded := s.cache.Pages[id].Record; recorded != nil {
 		maps.Copy(page, *recorded)
-		return id, page
-	}
-	coarsest := statecache.PageID(host, statecache.CoarsestPageSuffixLen)
-	coarser := s.cache.Pages[coarsest]
-	if id == coarsest || coarser.Record == nil {
-		return id, page
+		return page
 	}
-	txn.Require(statecache.MachinePageKey(coarsest), coarser.Version)
-	for name, machine := range *coarser.Record {
-		if statecache.PageID(name, statecache.FinestPageSuffixLen) == id {
-			page[name] = machine
+	if coarser := s.coarserPage(host); coarser.Record != nil {
+		for name, machine := range *coarser.Record {
+			if statecache.PageID(name, statecache.FinestPageSuffixLen) == id {
+				page[name] = machine
+			}
 		}
 	}
-	return id, page
+	return page
+}
+
+// RequirePage adds preconditions on the versions that a copy of a machine's page is based on.
+func (s *State) RequirePage(txn *statecache.Transaction, host string) {
+	id := s.PageIDFor(host)
+	txn.Require(statecache.MachinePageKey(id), s.cache.Pages[id].Version)
+	if coarser := s.coarserPage(host); coarser.Record != nil && s.cache.Pages[id].Record == nil {
+		txn.Require(statecache.MachinePageKey(statecache.PageID(host, statecache.CoarsestPageSuffixLen)), coarser.Version)
+	}
+}
+
+// coarserPage returns the coarsest page of a machine if the machine's own page is a finer one, else no
+// page.
+func (s *State) coarserPage(host string) statecache.Versioned[shard.MachinePage] {
+	coarsest := statecache.PageID(host, statecache.CoarsestPageSuffixLen)
+	if s.PageIDFor(host) == coarsest {
+		return statecache.Versioned[shard.MachinePage]{}
+	}
+	return s.cache.Pages[coarsest]
 }
 
 // PutPage adds a write of the page to the transaction. It deletes an empty page, unless a coarser
