--- a/internal/controller/cluster_network_test.go
+++ b/internal/controller/cluster_network_test.go
@@ -45,6 +45,26 @@
 	from    int
 }
 
+// maxPeerCopies is the number of copies of requests to peers that the cluster keeps.
+const maxPeerCopies = 16
+
+// peerCopy is a copy of a request to a peer.
+type peerCopy struct {
+	to      *testNode
+	request *peer.Request
+}
+
+// deliverPeerCopies delivers copies of the requests to peers, and forgets them.
+func (s *clusterNodes) deliverPeerCopies() {
+	copies := s.peerCopies
+	s.peerCopies = nil
+	for _, c := range copies {
+		if c.to.serves() && c.to.controller.members.ShouldServePeer(c.request) {
+			c.to.controller.frontend.ServeLocally(context.Background(), c.request)
+		}
+	}
+}
+
 // Call sends a request to a peer, which serves it immediately.
 func (l peerLink) Call(ctx context.Context, addr string, r *peer.Request, _ time.Duration) (*peer.Reply, error) {
 	to := slices.IndexFunc(l.cluster.nodes, func(n *testNode) bool { return n.name == addr })
@@ -52,6 +72,9 @@
 	if !n.serves() || !l.cluster.connected(l.from, to) {
 		return nil, errPeerUnreachable
 	}
+	if len(l.cluster.peerCopies) < maxPeerCopies {
+		l.cluster.peerCopies = append(l.cluster.peerCopies, peerCopy{n, r})
+	}
 	if !n.controller.members.ShouldServePeer(r) {
 		return n.controller.members.PeerStatus(r), nil
 	}
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -44,6 +44,7 @@
 	heartbeatCopies   []heartbeatCopy             // copies of heartbeats that arrived, to be delivered again later
 	pendingResponses  map[string]*pendingResponse // by machine, the response in transit to its worker
 	responseCopies    []pendingResponse           // copies of responses that workers received, to be delivered again later
+	peerCopies        []peerCopy                  // copies of requests to peers, to be delivered again later
 	unsentHeartbeats  int                         // heartbeats that were longer than a worker may send
 
 	stateLimits, nextStateLimits config.StateLimits // current and announced limits of the state service
--- a/internal/controller/fault_actions_services_test.go
+++ b/internal/controller/fault_actions_services_test.go
@@ -91,3 +91,15 @@
 	s.environment.Store.Down = true
 	s.runDrawnRounds(t, 1, 100)
 }
+
+// deliverOtherCopies delivers copies of transactions, of rental requests or of requests to peers.
+func (s serviceFaults) deliverOtherCopies(t *rapid.T) {
+	switch rapid.IntRange(0, 2).Draw(t, "kind") {
+	case 0:
+		s.environment.Store.DeliverCopies()
+	case 1:
+		s.environment.Cloud.DeliverRentalCopies()
+	default:
+		s.deliverPeerCopies()
+	}
+}
--- a/internal/controller/fault_actions_test.go
+++ b/internal/controller/fault_actions_test.go
@@ -88,6 +88,9 @@
 		{"upgrade a controller", controllers.upgradeController},
 		{"advance the clock", s.advanceClock},
 		{"partition a zone", controllers.partitionDrawnZone},
+		{"deliver copies of responses", workers.deliverDrawnResponseCopies},
+		{"deliver copies of commands", workers.deliverDrawnCommandCopies},
+		{"deliver other copies", services.deliverOtherCopies},
 	}
 }
 
--- a/internal/controller/fault_actions_workers_test.go
+++ b/internal/controller/fault_actions_workers_test.go
@@ -92,3 +92,29 @@
 	}
 	s.deliverDelayedCommands()
 }
+
+// deliverDrawnResponseCopies delivers copies of responses that workers have received.
+func (s workerFaults) deliverDrawnResponseCopies(t *rapid.T) {
+	if len(s.responseCopies) == 0 {
+		t.Skip("no copies")
+	}
+	for range rapid.IntRange(1, 8).Draw(t, "copies") {
+		response := rapid.SampledFrom(s.responseCopies).Draw(t, "copy")
+		response.deliver()
+	}
+	if rapid.Bool().Draw(t, "newer") {
+		s.responseCopies = nil
+	}
+}
+
+// deliverDrawnCommandCopies delivers copies of the direct commands of a controller.
+func (s workerFaults) deliverDrawnCommandCopies(t *rapid.T) {
+	commands := s.nodes[s.drawNode(t)].commands
+	if len(commands.Copies) == 0 {
+		t.Skip("no copies")
+	}
+	rapid.SampledFrom(commands.Copies).Draw(t, "copy")()
+	if rapid.Bool().Draw(t, "newer") {
+		commands.Copies = nil
+	}
+}
--- a/internal/simulator/state_service.go
+++ b/internal/simulator/state_service.go
@@ -51,6 +51,7 @@
 	leases      map[uint64]*lease
 	lastLeaseID uint64
 	delayed     []*store.Txn // transactions with the fault Delayed, until DeliverDelayed is called
+	copies      []*store.Txn // copies of transactions that were sent, until DeliverCopies is called
 }
 
 // storedValue is the value of a key.
@@ -107,6 +108,26 @@
 	}
 }
 
+// maxTransactionCopies is the number of copies that the state service keeps.
+const maxTransactionCopies = 64
+
+// keepCopy keeps a copy of a transaction that was sent.
+func (s *Store) keepCopy(t *store.Txn) {
+	if len(s.copies) < maxTransactionCopies {
+		s.copies = append(s.copies, t)
+	}
+}
+
+// DeliverCopies applies copies of the transactions that were sent, whose originals were carried out or
+// not, and forgets them.
+func (s *Store) DeliverCopies() {
+	copies := s.copies
+	s.copies = nil
+	for _, t := range copies {
+		_, _ = s.apply(t) // nobody waits for the response
+	}
+}
+
 // apply applies a transaction and returns its result.
 //
 // It returns store.ErrTooLarge for a transaction above the limits, and store.ErrLeaseEnded if a
