The record of an array whose task ranges finish out of order stays in a value

Cause: finished task ranges are intervals in the main record. With 1,563 ranges up to 782 intervals, 8 KB, are possible, and a record that can't be split further can't be written.

Change: a range whose interval would make the main record larger than seven eighths of a value is not marked; it keeps its own record, in which all tasks are done. Controllers read such ranges already. When all tasks of the array are done, its remaining ranges are finished in order, which joins the intervals.

Evidence: TestRangesFinishOutOfOrderInRecordThatFits fails without the check ("the ends in task range 998 can't be committed").

--- a/internal/decisions/archive.go
+++ b/internal/decisions/archive.go
@@ -27,11 +27,16 @@
 	return l.commit(ctx, purposeArchive, plan.transaction, store.PriorityDecision) == committed
 }
 
-// planArchive plans one transaction that archives as many jobs as fit into it. A job with many task
+// planArchive plans one transaction that archives as many jobs as fit into it, and completes arrays
+// whose tasks are all done. A job with many task
 // ranges takes several transactions.
 func planArchive(s *state.State) recordsPlan {
 	editor := s.Schema.NewRecordEditor()
 	for _, j := range s.Cache.Jobs {
+		if isDoneArray(j) && s.Leadership.Leads(j.Record.Shard) && !editor.IsFull(archiveWrites, 0, j) {
+			finishDoneArray(s, editor, j)
+			continue
+		}
 		finished := j.Record.Cancelled || isDoneGang(j)
 		if !finished || !s.Leadership.Leads(j.Record.Shard) || editor.IsFull(archiveWrites, 0) {
 			continue
--- a/internal/decisions/decisions_test.go
+++ b/internal/decisions/decisions_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"violetturn/internal/agent"
 	"violetturn/internal/api"
 	"violetturn/internal/config"
 	"violetturn/internal/external"
@@ -15,6 +16,7 @@
 	"violetturn/internal/leadership"
 	"violetturn/internal/node"
 	"violetturn/internal/notify"
+	"violetturn/internal/schema"
 	"violetturn/internal/shard"
 	"violetturn/internal/simulator"
 	"violetturn/internal/state"
@@ -301,3 +303,58 @@
 		})
 	}
 }
+
+// Guards against a main record that outgrows a value because many task ranges finish out of order:
+// neither further ends nor a cancellation could be committed then.
+func TestRangesFinishOutOfOrderInRecordThatFits(t *testing.T) {
+	f := newFixture(t)
+	const uid, rangeSize, ranges = "run-000001", 2, 1600
+	record := &job.Record{Shard: "n0", RangeSize: rangeSize, Spec: api.Job{UID: uid, Kind: api.Array, Tasks: rangeSize * ranges}}
+	f.apply(statecache.JobKey(uid), record)
+	for i := range ranges {
+		n := 2 * i // every other range first
+		if n >= ranges {
+			n = n%ranges + 1
+		}
+		tasks := (*job.TaskRange)(nil).Copy()
+		for i := range rangeSize {
+			tasks.Place(i, "i-000001", 0)
+		}
+		f.apply(statecache.TaskRangeKey(uid, 0, n), tasks)
+		f.finishTasks(t, uid, n)
+		if j := f.state.Cache.Jobs[uid]; j != nil && j.Size > f.state.Schema.MaxRecordBytes() {
+			t.Fatalf("the main record has %d bytes, want at most %d", j.Size, f.state.Schema.MaxRecordBytes())
+		}
+	}
+	for range ranges {
+		if f.state.Cache.Jobs[uid] == nil {
+			return
+		}
+		plan := planArchive(f.state)
+		if plan.transaction == nil {
+			t.Fatal("the array is not completed although all its tasks are done, want a transaction")
+		}
+		f.revision++
+		f.state.Cache.ApplyCommitted(plan.transaction, f.revision)
+	}
+	t.Error("the array is not archived, want it archived")
+}
+
+// finishTasks commits the ends of all tasks of a task range.
+func (f *fixture) finishTasks(t *testing.T, uid string, index int) {
+	t.Helper()
+	j := f.state.Cache.Jobs[uid]
+	var ends []agent.EndedTask
+	for i, placement := range j.Ranges[index].Record.Placements {
+		task := &statecache.PlacedTask{UID: uid, RangeIndex: index, Index: i, Placement: placement}
+		ends = append(ends, agent.EndedTask{Task: task, Attempt: agent.EndedAttempt{Attempt: placement.Attempt, Done: true}})
+	}
+	editor := f.state.Schema.NewRecordEditor()
+	addTaskEnds(editor, j, schema.RangeID{UID: uid, Index: index}, ends)
+	transaction := editor.BuildTransaction()
+	if editor.HasOversizedRecord {
+		t.Fatalf("the ends in task range %d can't be committed: a record is too large", index)
+	}
+	f.revision++
+	f.state.Cache.ApplyCommitted(transaction, f.revision)
+}
--- a/internal/decisions/task_ends.go
+++ b/internal/decisions/task_ends.go
@@ -79,7 +79,7 @@
 }
 
 // addTaskEnds adds the ends of attempts in one task range to a transaction. If all tasks of the range
-// are then done, it finishes the range; if this completes the job, it archives the job and returns
+// are then done, it finishes the range (see finishRange); if this completes the job, it archives the job and returns
 // true. Only arrays that are not cancelled are completed in this way.
 func addTaskEnds(editor *schema.Editor, j *statecache.Job, id schema.RangeID, ends []agent.EndedTask) (jobDone bool) {
 	spec := &j.Record.Spec
@@ -90,10 +90,11 @@
 	if spec.Kind != api.Array || j.Record.Cancelled || taskRange.DoneCount() < j.Record.RangeLen(id.Index) {
 		return false
 	}
-	record := editor.Record(j)
-	record.FinishRange(id.Index)
+	if !finishRange(editor, j, id.Index) {
+		return false
+	}
 	editor.DeletedRanges[id] = true
-	if !record.Complete() {
+	if !editor.Record(j).Complete() {
 		return false
 	}
 	editor.Archive(j, job.FinalState{Phase: api.JobDone, Done: spec.Tasks})
--- a/internal/schema/editor.go
+++ b/internal/schema/editor.go
@@ -1,6 +1,8 @@
 package schema
 
 import (
+	"encoding/json"
+
 	"violetturn/internal/job"
 	"violetturn/internal/statecache"
 )
@@ -223,6 +225,12 @@
 	}
 }
 
+// MayGrowTo reports whether a main record may have the given contents and still grow a little.
+func (e *Editor) MayGrowTo(record *job.Record) bool {
+	encoded, err := json.Marshal(record)
+	return err == nil && len(encoded) <= e.schema.MaxGrowableBytes()
+}
+
 // checkSizes requests a split for each job with a record that exceeds the maximum size.
 func (e *Editor) checkSizes() {
 	maxBytes := e.schema.MaxRecordBytes()
