Tests of parts beside faults, and of overfull placements of the previous version

TestPartsFollowAfterFaults: controllers back at once, the leader ends or loses the state service, the worker hangs, each after the first part of the stops.

--- a/internal/controller/message_size_test.go
+++ b/internal/controller/message_size_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"violetturn/internal/api"
+	"violetturn/internal/statecache"
+	"violetturn/internal/store"
 )
 
 // smallReplicas is a number of replicas whose entries nearly fill a heartbeat, and whose stops and
@@ -64,3 +66,77 @@
 			s.runningTasks(otherTask), worker.AgentEpoch, s.unsentHeartbeats)
 	}
 }
+
+// Guards against parts that are lost: a controller or the worker ends or hangs between two of them. The
+// cancelled tasks are gone in time, and the task of the other team keeps its machine unless the worker
+// itself was away for longer than its lease.
+func TestPartsFollowAfterFaults(t *testing.T) {
+	restart := func(s *testCluster, _ string) {
+		for i := range s.nodes {
+			s.startNode(i)
+		}
+	}
+	cases := []struct {
+		name   string
+		happen func(s *testCluster, host string)
+	}{
+		{"controllers are back at once", restart},
+		{"leader ends", func(s *testCluster, host string) { s.nodes[s.preferredLeaderOf(host)].running = false }},
+		{"leader loses the state service", func(s *testCluster, host string) {
+			s.environment.Store.UnreachableControllers[s.nodes[s.preferredLeaderOf(host)].name] = true
+		}},
+		{"worker hangs for a moment", func(s *testCluster, host string) {
+			s.environment.Cloud.WorkersByHost[host].Hung = true
+			s.runFor(4)
+			s.environment.Cloud.WorkersByHost[host].Hung = false
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s, otherTask, host := newClusterWithOneMachine(t)
+			service := s.submitSmallService(smallReplicas)
+			s.runUntil(t, 120, "replicas run", func() bool { return s.runningTasks(service) == smallReplicas })
+			leader := s.preferredLeaderOf(host)
+			s.cancel((leader+1)%len(s.nodes), service)
+			s.stepNode(leader) // sends the first part
+			if left := s.presentTasks(service); left == 0 || left == smallReplicas {
+				t.Fatalf("%d replicas are left after the first part, want some but not all", left)
+			}
+			c.happen(s, host)
+			s.runUntil(t, rounds(s.environment.CancelTimeout), "replicas stopped", func() bool { return s.presentTasks(service) == 0 })
+			s.runRounds(t, 2*rounds(s.environment.WorkerLease))
+			if s.runningTasks(otherTask) != 1 || s.unsentHeartbeats != 0 {
+				t.Errorf("%d tasks of the other team run, %d heartbeats were too long; want 1 and none", s.runningTasks(otherTask), s.unsentHeartbeats)
+			}
+		})
+	}
+}
+
+// Guards against more tasks on a machine than its worker can report because a controller of the version
+// before has placed them: this leader launches as many as the heartbeats hold, and the others are placed
+// again.
+func TestOverfullPlacementsOfPreviousVersion(t *testing.T) {
+	s, otherTask, host := newClusterWithOneMachine(t)
+	array := s.submitArray(1600, 20*time.Second, func(j *api.Job) { j.CPUs, j.GPUs, j.MemGB, j.Zone = 0.002, 0, 0.01, "x" })
+	node := s.nodes[0]
+	_ = node.controller.sync.ApplyChanges(t.Context(), node.state().Cache.Revision, 0)
+	j := node.state().Cache.Jobs[array]
+	for index := range j.Record.RangeCount() {
+		tasks := j.Ranges[index].Record.Copy()
+		for i := range j.Record.RangeLen(index) {
+			tasks.Place(i, host, 0)
+		}
+		txn := statecache.NewTransaction()
+		txn.Require(j.RangeRecord(index))
+		txn.Put(statecache.TaskRangeKey(array, j.Record.Generation, index), tasks)
+		if committed, _, err := node.controller.sync.Commit(t.Context(), "test", txn, store.PriorityDecision); !committed {
+			t.Fatalf("placements in task range %d are not committed, error %v", index, err)
+		}
+	}
+	s.runRounds(t, 120)
+	worker := s.environment.Cloud.WorkersByHost[host]
+	if s.runningTasks(otherTask) != 1 || worker.AgentEpoch != 1 || s.unsentHeartbeats != 0 {
+		t.Errorf("%d tasks of the other team run in agent epoch %d, %d heartbeats were too long; want 1 task, epoch 1 and none too long",
+			s.runningTasks(otherTask), worker.AgentEpoch, s.unsentHeartbeats)
+	}
+}
