Benchmark of a machine full of small tasks, and a test of direct commands in parts

TestDirectCommandsFollowInParts fails without the next part after an answer: "489 replicas are left after 5 direct commands".

--- a/Makefile
+++ b/Makefile
@@ -21,5 +21,5 @@
 deadcode: ## lists unreachable functions
 	$(lint_tool) deadcode -test ./...
 
-bench: ## benchmarks scheduling plans, heartbeats, startup and scale-in at production size
-	go test ./internal/controller -run '^$$' -bench 'Plan|Heartbeat|Load|ScaleIn'
+bench: ## benchmarks scheduling plans, heartbeats (one machine full of small tasks too), startup and scale-in at production size
+	go test ./internal/controller -run '^$$' -bench 'Plan|Heartbeat|FullMachine|Load|ScaleIn'
--- a/internal/controller/late_copies_test.go
+++ b/internal/controller/late_copies_test.go
@@ -52,7 +52,7 @@
 		t.Helper()
 		notice := 6.0 // in which the task has to save, but not its companion
 		s.environment.Cloud.WorkersByHost[host].SpotNoticeS = &notice
-		s.runUntil(t, 10, "task stopped", func() bool { return s.tasksOn(host, uid) == 0 })
+		s.runUntil(t, 10, "task stopped", func() bool { return !s.isOn(host, uid) })
 		s.environment.Cloud.WorkersByHost[host].SpotNoticeS = nil
 		leader := s.nodes[s.preferredLeaderOf(host)]
 		leader.state().Agents.Agent(host).AvoidUntil = s.environment.Now.Add(time.Minute)
@@ -77,7 +77,6 @@
 	for _, c := range lateCopyCases() {
 		t.Run(c.name, func(t *testing.T) {
 			s := newReadyCluster()
-			small := func(j *api.Job) { j.GPUs, j.CPUs, j.MemGB, j.Zone = 0, 0.1, 0.1, "x" }
 			companion := s.submitArray(1, time.Hour, small) // keeps the machine in use
 			s.runUntil(t, 60, "companion runs", func() bool { return s.runningTasks(companion) == 1 })
 			host := s.workerOf(companion).Host
@@ -88,7 +87,7 @@
 					j.Kind = api.Service
 				}
 			})
-			s.runUntil(t, 60, "replica runs", func() bool { return s.tasksOn(host, id) == 1 })
+			s.runUntil(t, 60, "replica runs", func() bool { return s.isOn(host, id) })
 			launched := s.attemptOn(host, id)
 			c.run(t, s, id, host)
 			for round := range 400 {
@@ -109,13 +108,7 @@
 	}
 }
 
-// tasksOn counts the tasks of a job on a machine that have not ended.
-func (s *testCluster) tasksOn(host, uid string) int {
-	n := 0
-	for _, job := range s.environment.Cloud.WorkersByHost[host].UnfinishedTaskJobs() {
-		if job == uid {
-			n++
-		}
-	}
-	return n
+// isOn reports whether a machine has a task of a job that has not ended.
+func (s *testCluster) isOn(host, uid string) bool {
+	return slices.Contains(s.environment.Cloud.WorkersByHost[host].UnfinishedTaskJobs(), uid)
 }
--- a/internal/controller/message_size_test.go
+++ b/internal/controller/message_size_test.go
@@ -13,16 +13,12 @@
 // ends would exceed a message.
 const smallReplicas = 1150
 
-// submitSmallService submits a service of many small replicas and returns its UID.
-func (s *testCluster) submitSmallService(replicas int) string {
-	return s.submitService(replicas, func(j *api.Job) {
-		j.CPUs, j.GPUs, j.MemGB, j.Zone = 0.002, 0, 0.01, "x"
-	})
-}
+// small makes the tasks of a job small.
+func small(j *api.Job) { j.CPUs, j.GPUs, j.MemGB, j.Zone = 0.002, 0, 0.01, "x" }
 
 // newClusterWithOneMachine returns a cluster in which a task of another team runs on the only
 // machine, and the machine's worker.
-func newClusterWithOneMachine(t *testing.T) (s *testCluster, otherTask string, host string) {
+func newClusterWithOneMachine(t testing.TB) (s *testCluster, otherTask string, host string) {
 	t.Helper()
 	s = newReadyCluster()
 	otherTask = s.submitArray(1, time.Hour, func(j *api.Job) { j.Team, j.Zone, j.CPUs = "a", "x", 1 })
@@ -31,20 +27,34 @@
 	return s, otherTask, s.workerOf(otherTask).Host
 }
 
+// runSmallReplicas runs a service of many small replicas and returns its UID.
+func (s *testCluster) runSmallReplicas(t testing.TB) string {
+	t.Helper()
+	service := s.submitService(smallReplicas, small)
+	s.runUntil(t, 120, "replicas run", func() bool { return s.runningTasks(service) == smallReplicas })
+	return service
+}
+
+// checkOtherTeam checks that the task of the other team still runs in the first agent epoch of its
+// worker, which could send all its heartbeats.
+func (s *testCluster) checkOtherTeam(t *testing.T, task, host string) {
+	t.Helper()
+	epoch := s.environment.Cloud.WorkersByHost[host].AgentEpoch
+	if s.runningTasks(task) != 1 || epoch != 1 || s.unsentHeartbeats != 0 {
+		t.Errorf("%d tasks of the other team run in agent epoch %d, %d heartbeats were too long; want 1 task, epoch 1 and none too long",
+			s.runningTasks(task), epoch, s.unsentHeartbeats)
+	}
+}
+
 // Guards against messages to a worker that are longer than 64 KiB: the worker takes them for no
 // response, and its lease runs out with the tasks of other teams (review, case 3).
 func TestCancelledSmallReplicasAreStoppedInParts(t *testing.T) {
 	s, otherTask, host := newClusterWithOneMachine(t)
-	service := s.submitSmallService(smallReplicas)
-	s.runUntil(t, 120, "replicas run", func() bool { return s.runningTasks(service) == smallReplicas })
+	service := s.runSmallReplicas(t)
 	s.cancel(0, service)
 	s.runUntil(t, rounds(s.environment.CancelTimeout), "replicas stopped", func() bool { return s.presentTasks(service) == 0 })
 	s.runRounds(t, 2*rounds(s.environment.WorkerLease))
-	worker := s.environment.Cloud.WorkersByHost[host]
-	if s.runningTasks(otherTask) != 1 || worker.AgentEpoch != 1 || s.unsentHeartbeats != 0 {
-		t.Errorf("%d tasks of the other team run in agent epoch %d, %d heartbeats were too long; want 1 task, epoch 1 and none too long",
-			s.runningTasks(otherTask), worker.AgentEpoch, s.unsentHeartbeats)
-	}
+	s.checkOtherTeam(t, otherTask, host)
 }
 
 // Guards against more tasks on a machine than its worker can report in 64 KiB: the worker sends no
@@ -52,7 +62,7 @@
 // array may end at the same time.
 func TestMachineGetsOnlyTasksThatItsHeartbeatHolds(t *testing.T) {
 	s, otherTask, host := newClusterWithOneMachine(t)
-	array := s.submitArray(2000, 20*time.Second, func(j *api.Job) { j.CPUs, j.GPUs, j.MemGB, j.Zone = 0.002, 0, 0.01, "x" })
+	array := s.submitArray(2000, 20*time.Second, small)
 	maxTasks := api.MaxTasksBytes / s.environment.Jobs[array].Spec.TaskReportBytes()
 	s.runUntil(t, 600, "array done", func() bool {
 		if placed := len(s.nodes[0].state().Cache.Placements[host]); placed > maxTasks {
@@ -60,11 +70,7 @@
 		}
 		return s.isDone(array)()
 	})
-	worker := s.environment.Cloud.WorkersByHost[host]
-	if s.runningTasks(otherTask) != 1 || worker.AgentEpoch != 1 || s.unsentHeartbeats != 0 {
-		t.Errorf("%d tasks of the other team run in agent epoch %d, %d heartbeats were too long; want 1 task, epoch 1 and none too long",
-			s.runningTasks(otherTask), worker.AgentEpoch, s.unsentHeartbeats)
-	}
+	s.checkOtherTeam(t, otherTask, host)
 }
 
 // Guards against parts that are lost: a controller or the worker ends or hangs between two of them. The
@@ -94,8 +100,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			s, otherTask, host := newClusterWithOneMachine(t)
-			service := s.submitSmallService(smallReplicas)
-			s.runUntil(t, 120, "replicas run", func() bool { return s.runningTasks(service) == smallReplicas })
+			service := s.runSmallReplicas(t)
 			leader := s.preferredLeaderOf(host)
 			s.cancel((leader+1)%len(s.nodes), service)
 			s.stepNode(leader) // sends the first part
@@ -105,19 +110,35 @@
 			c.happen(s, host)
 			s.runUntil(t, rounds(s.environment.CancelTimeout), "replicas stopped", func() bool { return s.presentTasks(service) == 0 })
 			s.runRounds(t, 2*rounds(s.environment.WorkerLease))
-			if s.runningTasks(otherTask) != 1 || s.unsentHeartbeats != 0 {
-				t.Errorf("%d tasks of the other team run, %d heartbeats were too long; want 1 and none", s.runningTasks(otherTask), s.unsentHeartbeats)
-			}
+			s.checkOtherTeam(t, otherTask, host)
 		})
 	}
 }
 
+// Guards against a rest of stops that waits for the worker's next heartbeat: as soon as a direct command
+// is answered, the next part is sent.
+func TestDirectCommandsFollowInParts(t *testing.T) {
+	s, _, host := newClusterWithOneMachine(t)
+	service := s.runSmallReplicas(t)
+	s.runRounds(t, 4)
+	leader := s.preferredLeaderOf(host)
+	s.cancel(leader, service)
+	const parts = 5
+	for range parts { // without any heartbeat
+		s.stepNode(leader)
+	}
+	if left := s.presentTasks(service); left != 0 {
+		t.Errorf("%d replicas are left after %d direct commands, want none", left, parts)
+	}
+	s.checkViolations(t)
+}
+
 // Guards against more tasks on a machine than its worker can report because a controller of the version
 // before has placed them: this leader launches as many as the heartbeats hold, and the others are placed
 // again.
 func TestOverfullPlacementsOfPreviousVersion(t *testing.T) {
 	s, otherTask, host := newClusterWithOneMachine(t)
-	array := s.submitArray(1600, 20*time.Second, func(j *api.Job) { j.CPUs, j.GPUs, j.MemGB, j.Zone = 0.002, 0, 0.01, "x" })
+	array := s.submitArray(1600, 20*time.Second, small)
 	node := s.nodes[0]
 	_ = node.controller.sync.ApplyChanges(t.Context(), node.state().Cache.Revision, 0)
 	j := node.state().Cache.Jobs[array]
@@ -134,9 +155,5 @@
 		}
 	}
 	s.runRounds(t, 120)
-	worker := s.environment.Cloud.WorkersByHost[host]
-	if s.runningTasks(otherTask) != 1 || worker.AgentEpoch != 1 || s.unsentHeartbeats != 0 {
-		t.Errorf("%d tasks of the other team run in agent epoch %d, %d heartbeats were too long; want 1 task, epoch 1 and none too long",
-			s.runningTasks(otherTask), worker.AgentEpoch, s.unsentHeartbeats)
-	}
+	s.checkOtherTeam(t, otherTask, host)
 }
