--- a/test.sh
+++ b/test.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs the checks of CI: no tracked binaries, formatting, vet, linters, dead code, all tests under the
-# race detector, and the build command of deploy/service.toml. Tests at production size run without
-# the race detector. Requires Go and, for the race detector, a C compiler.
+# race detector, and the build command of deploy/service.toml. Tests at production size and a soak with
+# generated faults run without the race detector. Requires Go and, for the race detector, a C compiler.
 #
 #   test.sh                     runs all steps
 #   test.sh known-red LIST      checks a list of known failing tests and prints their names
@@ -15,6 +15,9 @@
 readonly known_red_list=KNOWN-RED.txt
 readonly known_red_limit=3
 readonly tests_at_size='^TestFourThousandMachines$'
+readonly soak_test='^TestRulesHoldUnderFaults$'
+readonly soak_inputs=1500
+readonly soak_seed=43
 
 fail() {
   echo "$1" >&2
@@ -96,6 +99,11 @@
   go test -run "$tests_at_size" ./internal/controller
 }
 
+# soak draws more faults and copies of messages than the tests do, without the race detector.
+soak() {
+  go test -run "$soak_test" ./internal/controller -rapid.checks "$soak_inputs" -rapid.seed "$soak_seed"
+}
+
 # race_tests runs all tests under the race detector. The known failing tests run after the others.
 race_tests() {
   local red name
@@ -131,7 +139,7 @@
 case "${1:-}" in
 known-red) known_red "$2" ;;
 "")
-  for name in no_tracked_binaries c_compiler formatting vet linters no_dead_code at_size race_tests build; do
+  for name in no_tracked_binaries c_compiler formatting vet linters no_dead_code at_size soak race_tests build; do
     step "$name"
   done
   ;;
