--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -94,10 +94,18 @@
 	a.RaiseToken(now)
 }
 
-// MaxUnacknowledgedResponses is the number of consecutive responses that may remain without effect
-// before a worker is assumed to receive none or to ignore them. Single responses are lost now and
-// then.
-const MaxUnacknowledgedResponses = 3
+// Numbers of responses that may remain without effect. Single responses are lost now and then.
+const (
+	// MaxUnacknowledgedResponses is the number of consecutive responses with a newer term after which a
+	// worker that does not show it is assumed to receive none.
+	MaxUnacknowledgedResponses = 3
+	// MaxIgnoredLaunches is the number of responses with the same launch after which a worker that does
+	// not report the task is assumed to ignore launches.
+	MaxIgnoredLaunches = 3
+	// MaxBlockedHeartbeats is the number of consecutive heartbeats after which an attempt for which the
+	// machine has no capacity is ended.
+	MaxBlockedHeartbeats = 3
+)
 
 // AllowOlderTermResponse reports whether to answer a worker that has not shown the current term yet, so
 // that the worker receives the term. It also counts the response. A worker that keeps showing an
--- a/internal/capacity/arrivals.go
+++ b/internal/capacity/arrivals.go
@@ -11,8 +11,8 @@
 	"violetturn/internal/node"
 )
 
-// MinArrivalLimit is the lower bound of the limit on the number of arrivals kept per class.
-const MinArrivalLimit = 1024
+// minArrivalLimit is the lower bound of the limit on the number of arrivals kept per class.
+const minArrivalLimit = 1024
 
 // ArrivalWindowBoots is the number of boot times during which an arrival counts as recent.
 const ArrivalWindowBoots = 4
@@ -30,7 +30,7 @@
 
 // Arrivals records recently accepted jobs by class, oldest first. The number of entries per class
 // is limited to the number of jobs that can be accepted within ArrivalWindowBoots boot times, but
-// at least MinArrivalLimit. The lock of internal/state guards it.
+// at least minArrivalLimit. The lock of internal/state guards it.
 type Arrivals struct {
 	node    *node.Info
 	catalog *catalog.Catalog
@@ -63,7 +63,7 @@
 // ArrivalWindowBoots boot times.
 func (a *Arrivals) maxPerClass() int {
 	window := ArrivalWindowBoots * a.catalog.ShortestBoot().Seconds()
-	return max(MinArrivalLimit, int(a.node.Settings.Facts.State.WriteRPS*window))
+	return max(minArrivalLimit, int(a.node.Settings.Facts.State.WriteRPS*window))
 }
 
 // ByClass iterates over the classes and their arrivals, oldest first.
--- a/internal/finalstate/finalstate.go
+++ b/internal/finalstate/finalstate.go
@@ -1,7 +1,6 @@
 package finalstate
 
 import (
-	"violetturn/internal/capacity"
 	"violetturn/internal/config"
 	"violetturn/internal/job"
 	"violetturn/internal/node"
@@ -44,10 +43,12 @@
 	finalStateBytes = 256
 	// memoryDivisor limits the entries to this fraction (one part in 64) of a controller's memory.
 	memoryDivisor = 64
+	// minEntries is kept whatever the memory.
+	minEntries = 1024
 )
 
 // maxEntries returns the maximum number of entries. Final states beyond it are read from the state
 // service on request.
 func maxEntries(settings *config.Settings) int {
-	return max(capacity.MinArrivalLimit, int(settings.Facts.Limits.MemoryMB*(1<<20)/memoryDivisor/finalStateBytes))
+	return max(minEntries, int(settings.Facts.Limits.MemoryMB*(1<<20)/memoryDivisor/finalStateBytes))
 }
--- a/internal/leadership/contact.go
+++ b/internal/leadership/contact.go
@@ -29,12 +29,16 @@
 	hasContact    bool      // there is contact with at least one worker
 }
 
-// MinSilentCount is a minimum for two counts. A controller counts as unreachable only after this
-// many consecutive checks, one per renewal of its lease, without contact with a worker, so that a
-// controller that was itself suspended can first receive heartbeats again. At least this many
-// machines must be silent: one or two silent machines are as likely to have failed themselves, and
-// each change of the leader restarts the wait for the end of their leases.
-const MinSilentCount = 3
+const (
+	// MinSilentChecks is the number of consecutive checks, one per renewal of its lease, without
+	// contact with a worker after which a controller counts as unreachable. A controller that was itself
+	// suspended can first receive heartbeats again.
+	MinSilentChecks = 3
+	// MinSilentMachines is the number of machines that must be silent for that: one or two are as likely
+	// to have failed themselves, and each change of the leader restarts the wait for the end of their
+	// leases.
+	MinSilentMachines = 3
+)
 
 // RecordContact records that a worker reached this controller, by a heartbeat or a response.
 func (c *WorkerContact) RecordContact(now time.Time) {
@@ -58,7 +62,7 @@
 
 // CheckSilence checks whether workers reach this controller. It is called once per renewal of the
 // lease. countExpected returns how many workers are expected to send heartbeats; it is called only
-// after MinSilentCount checks without contact.
+// after MinSilentChecks checks without contact.
 func (c *WorkerContact) CheckSilence(now time.Time, countExpected func() int) {
 	maxHeartbeatGap := c.node.Settings.HeartbeatInterval() * 5 / 4 // every worker that sends heartbeats has sent one within this time
 	if now.Sub(c.lastContactAt) <= maxHeartbeatGap {
@@ -66,11 +70,11 @@
 		return
 	}
 	c.silentChecks++
-	if c.silentChecks < MinSilentCount {
+	if c.silentChecks < MinSilentChecks {
 		return
 	}
 	c.hasContact = false
-	if countExpected() >= MinSilentCount {
+	if countExpected() >= MinSilentMachines {
 		c.unreachable = true
 		c.node.Log.Info("no heartbeat reaches this controller", logkey.LastContact(c.lastContactAt))
 	}
--- a/internal/leadership/table_test.go
+++ b/internal/leadership/table_test.go
@@ -190,18 +190,18 @@
 	}
 }
 
-// A controller is unreachable after MinSilentCount consecutive checks without contact if heartbeats
-// are expected from at least MinSilentCount workers, until there is contact again.
+// A controller is unreachable after MinSilentChecks consecutive checks without contact if heartbeats
+// are expected from at least MinSilentMachines workers, until there is contact again.
 func TestCheckSilenceRequiresEnoughSilentWorkers(t *testing.T) {
-	for _, expected := range []int{MinSilentCount - 1, MinSilentCount} {
+	for _, expected := range []int{MinSilentMachines - 1, MinSilentMachines} {
 		f := newTableFixture(t)
 		f.Contact().RecordContact(f.now)
 		silent := f.now.Add(time.Minute)
-		for range MinSilentCount - 1 {
-			f.Contact().CheckSilence(silent, func() int { t.Errorf("expected workers counted before check %d", MinSilentCount); return 0 })
+		for range MinSilentChecks - 1 {
+			f.Contact().CheckSilence(silent, func() int { t.Errorf("expected workers counted before check %d", MinSilentChecks); return 0 })
 		}
 		f.Contact().CheckSilence(silent, func() int { return expected })
-		if got, want := f.Contact().Unreachable(), expected == MinSilentCount; got != want || f.contact.hasContact {
+		if got, want := f.Contact().Unreachable(), expected == MinSilentMachines; got != want || f.contact.hasContact {
 			t.Errorf("%d silent workers: unreachable %t, has contact %t; want unreachable %t, no contact",
 				expected, got, f.contact.hasContact, want)
 		}
--- a/internal/reconcile/comparison.go
+++ b/internal/reconcile/comparison.go
@@ -210,7 +210,7 @@
 // it, that the worker is considered to ignore launches.
 func (c *comparison) ignoresLaunches(task committedTask) bool {
 	pending := c.worker.PendingLaunches[task.placementKey]
-	return pending.Attempt == task.attempt.Attempt && pending.SentResponses >= agent.MaxUnacknowledgedResponses
+	return pending.Attempt == task.attempt.Attempt && pending.SentResponses >= agent.MaxIgnoredLaunches
 }
 
 // markUnresponsive marks the worker as unresponsive, if it is not marked yet.
@@ -301,7 +301,7 @@
 		pending.BlockedHeartbeats = 0
 	}
 	c.worker.PendingLaunches[task.placementKey] = pending
-	if pending.BlockedHeartbeats >= agent.MaxUnacknowledgedResponses {
+	if pending.BlockedHeartbeats >= agent.MaxBlockedHeartbeats {
 		c.endAttempt(task.placementKey, agent.EndedAttempt{Attempt: task.attempt.Attempt, Reason: job.ExitRefused})
 	}
 }
--- a/internal/reconcile/reconcile_test.go
+++ b/internal/reconcile/reconcile_test.go
@@ -179,12 +179,12 @@
 // launches: it becomes unresponsive, and its attempts end.
 func TestWorkerThatIgnoresLaunchesBecomesUnresponsive(t *testing.T) {
 	f := newFixture(t)
-	for sequence := range uint64(agent.MaxUnacknowledgedResponses) {
+	for sequence := range uint64(agent.MaxIgnoredLaunches) {
 		if got := f.commandsForHeartbeat(sequence + 1); len(got) != 2 {
 			t.Fatalf("heartbeat %d: got %d commands, want 2: %s", sequence+1, len(got), api.MustMarshal(got))
 		}
 	}
-	got := f.commandsForHeartbeat(agent.MaxUnacknowledgedResponses + 1)
+	got := f.commandsForHeartbeat(agent.MaxIgnoredLaunches + 1)
 	worker := f.agents.Agent(host)
 	if len(got) != 0 || !worker.Unresponsive() || len(worker.EndedAttempts) != 2 {
 		t.Errorf("got commands %s, unresponsive %t, ended attempts %v; want no commands, true, 2 attempts",
--- a/internal/simulator/cloud.go
+++ b/internal/simulator/cloud.go
@@ -22,7 +22,7 @@
 	terminated        []*Worker           // terminated machines, which the list may still contain because of ListLag
 	rentals           map[string][]string // machine names by the name of their rental request, so that a repeated request rents nothing
 	nextMachineNumber int
-	rentalCopies      []cloud.RentalRequest // copies of requests that arrived, until DeliverRentalCopies is called
+	rentalCopies      copies[cloud.RentalRequest] // copies of requests that arrived, until DeliverRentalCopies is called
 
 	cachedList   []cloud.Machine // list of machines, computed at cachedListAt; nil: not computed
 	cachedListAt time.Time
@@ -139,21 +139,12 @@
 // maxRentalCopies is the number of copies of rental requests that the cloud keeps.
 const maxRentalCopies = 16
 
-// keepRental keeps a copy of a rental request that arrived.
-func (c *Cloud) keepRental(r cloud.RentalRequest) {
-	if len(c.rentalCopies) < maxRentalCopies {
-		c.rentalCopies = append(c.rentalCopies, r)
-	}
-}
-
 // DeliverRentalCopies carries out copies of the rental requests that arrived, and forgets them. A copy of
 // a request that was carried out rents nothing; one of a refused request may rent machines.
 func (c *Cloud) DeliverRentalCopies() {
-	copies := c.rentalCopies
-	c.rentalCopies = nil
-	for _, r := range copies {
+	c.rentalCopies.deliver(func(r cloud.RentalRequest) {
 		if _, rented := c.rentals[r.Name]; !rented && !c.NoCapacity {
 			c.rent(r)
 		}
-	}
+	})
 }
--- a/internal/simulator/cloud_client.go
+++ b/internal/simulator/cloud_client.go
@@ -50,7 +50,7 @@
 	if !c.available() || fault == RequestLost {
 		return nil, cloud.ErrUnavailable
 	}
-	c.Cloud.keepRental(r)
+	c.Cloud.rentalCopies.keep(r, maxRentalCopies)
 	if hosts, ok := c.Cloud.rentals[r.Name]; ok {
 		return hosts, nil
 	}
--- a/internal/simulator/state_client.go
+++ b/internal/simulator/state_client.go
@@ -72,7 +72,7 @@
 	}
 	c.Store.SentWrites += len(t.Writes)
 	c.checkSize(t)
-	c.Store.keepCopy(t)
+	c.Store.copies.keep(t, maxTransactionCopies)
 	switch c.Store.consumeNextFault(c.Controller) {
 	case NoFault:
 	case RequestLost:
--- a/internal/simulator/state_service.go
+++ b/internal/simulator/state_service.go
@@ -50,8 +50,8 @@
 	log         []store.Change // change log; see logChange
 	leases      map[uint64]*lease
 	lastLeaseID uint64
-	delayed     []*store.Txn // transactions with the fault Delayed, until DeliverDelayed is called
-	copies      []*store.Txn // copies of transactions that were sent, until DeliverCopies is called
+	delayed     []*store.Txn       // transactions with the fault Delayed, until DeliverDelayed is called
+	copies      copies[*store.Txn] // copies of transactions that were sent, until DeliverCopies is called
 }
 
 // storedValue is the value of a key.
@@ -111,21 +111,10 @@
 // maxTransactionCopies is the number of copies that the state service keeps.
 const maxTransactionCopies = 64
 
-// keepCopy keeps a copy of a transaction that was sent.
-func (s *Store) keepCopy(t *store.Txn) {
-	if len(s.copies) < maxTransactionCopies {
-		s.copies = append(s.copies, t)
-	}
-}
-
 // DeliverCopies applies copies of the transactions that were sent, whose originals were carried out or
 // not, and forgets them.
 func (s *Store) DeliverCopies() {
-	copies := s.copies
-	s.copies = nil
-	for _, t := range copies {
-		_, _ = s.apply(t) // nobody waits for the response
-	}
+	s.copies.deliver(func(t *store.Txn) { _, _ = s.apply(t) }) // nobody waits for the responses
 }
 
 // apply applies a transaction and returns its result.
