An inline array whose record nearly fills a value is done with its last task

What callers would have seen (never released): an array whose only task range is in its main record was not archived after its last task, if the record with all placements was larger than seven eighths of a value.

Cause: the check that keeps intervals of finished ranges within a value also applied to that range. A first interval is possible in each record, too.

--- a/internal/capacity/arrivals_test.go
+++ b/internal/capacity/arrivals_test.go
@@ -25,21 +25,21 @@
 	return &job.Record{Spec: api.Job{Class: class, Kind: kind, Tasks: tasks}, AcceptedMS: at.UnixMilli()}
 }
 
-// Only the newest MinArrivalLimit arrivals of a class are kept, oldest first.
+// Only the newest minArrivalLimit arrivals of a class are kept, oldest first.
 func TestArrivalsKeepNewestPerClass(t *testing.T) {
 	a := newTestArrivals(t)
 	now := time.Unix(1_800_000_000, 0)
 	const excess = 3
-	for i := range MinArrivalLimit + excess {
+	for i := range minArrivalLimit + excess {
 		a.Record(arrivalRecord("a", api.Array, now.Add(time.Duration(i)*time.Second), i))
 	}
 	for class, arrivals := range a.ByClass() {
-		if class != "a" || len(arrivals) != MinArrivalLimit {
-			t.Fatalf("class %s has %d arrivals, want class a with %d", class, len(arrivals), MinArrivalLimit)
+		if class != "a" || len(arrivals) != minArrivalLimit {
+			t.Fatalf("class %s has %d arrivals, want class a with %d", class, len(arrivals), minArrivalLimit)
 		}
-		oldest, newest := arrivals[0], arrivals[MinArrivalLimit-1]
-		if oldest.Tasks != excess || newest.Tasks != MinArrivalLimit+excess-1 || !oldest.AcceptedAt.Equal(now.Add(excess*time.Second)) {
-			t.Errorf("kept arrivals are from %+v to %+v, want %d to %d tasks", oldest, newest, excess, MinArrivalLimit+excess-1)
+		oldest, newest := arrivals[0], arrivals[minArrivalLimit-1]
+		if oldest.Tasks != excess || newest.Tasks != minArrivalLimit+excess-1 || !oldest.AcceptedAt.Equal(now.Add(excess*time.Second)) {
+			t.Errorf("kept arrivals are from %+v to %+v, want %d to %d tasks", oldest, newest, excess, minArrivalLimit+excess-1)
 		}
 	}
 }
--- a/internal/decisions/decisions_test.go
+++ b/internal/decisions/decisions_test.go
@@ -340,6 +340,26 @@
 	t.Error("the array is not archived, want it archived")
 }
 
+// Guards against an array that is never done: the record of one with a single, inline task range that
+// nearly fills a value is complete with that range, however large it is.
+func TestInlineArrayIsDoneWithItsLastTask(t *testing.T) {
+	f := newFixture(t)
+	const uid = "run-000001"
+	spec := api.Job{UID: uid, Kind: api.Array, Tasks: 64, Image: strings.Repeat("i", 2000)}
+	record := &job.Record{Shard: "n0", RangeSize: spec.Tasks, Inline: true, Spec: spec, InlineRange: (*job.TaskRange)(nil).Copy()}
+	for i := range record.Spec.Tasks {
+		record.InlineRange.Place(i, "i-000001", 0)
+	}
+	f.apply(statecache.JobKey(uid), record)
+	if f.state.Cache.Jobs[uid].Size <= f.state.Schema.MaxGrowableBytes() {
+		t.Fatalf("the record has %d bytes, want more than %d", f.state.Cache.Jobs[uid].Size, f.state.Schema.MaxGrowableBytes())
+	}
+	f.finishTasks(t, uid, 0)
+	if f.state.Cache.Jobs[uid] != nil {
+		t.Error("the array is not archived with the end of its last task, want it archived")
+	}
+}
+
 // finishTasks commits the ends of all tasks of a task range.
 func (f *fixture) finishTasks(t *testing.T, uid string, index int) {
 	t.Helper()
--- a/internal/decisions/finished_ranges.go
+++ b/internal/decisions/finished_ranges.go
@@ -8,6 +8,9 @@
 	"violetturn/internal/statecache"
 )
 
+// minFinishedBounds is the number of bounds of finished task ranges that each main record has space for.
+const minFinishedBounds = 4
+
 // finishRange marks a task range of an array, all of whose tasks are done, as finished in the main
 // record. It returns false, and the range keeps its record, if the main record would become too large:
 // one with many finished ranges far apart from each other does. Such ranges are finished once all tasks
@@ -19,7 +22,8 @@
 	}
 	finished := record.Copy()
 	finished.FinishRange(index)
-	if len(finished.FinishedRanges) > len(record.FinishedRanges) && !editor.MayGrowTo(finished) {
+	addsInterval := len(finished.FinishedRanges) > max(len(record.FinishedRanges), minFinishedBounds)
+	if !j.Record.Inline && addsInterval && !editor.MayGrowTo(finished) { // an inline job has one range, and is done with it
 		return false
 	}
 	editor.Record(j).FinishedRanges = finished.FinishedRanges
@@ -38,8 +42,9 @@
 // the transaction, and archives the job with the last one.
 func finishDoneArray(s *state.State, editor *schema.Editor, j *statecache.Job) {
 	s.Leadership.RequireLeadership(editor.Txn, j.Record.Shard)
-	record := j.Record
-	for n := range j.Record.RangeCount() {
+	record, count := editor.Record(j), j.Record.RangeCount()
+	for i := range 2 * count { // upwards, and then downwards to join what lies below the first interval
+		n := min(i, 2*count-1-i)
 		if record.RangeFinished(n) {
 			continue
 		}
@@ -48,7 +53,6 @@
 		}
 		if finishRange(editor, j, n) {
 			editor.DeleteRange(j, n)
-			record = editor.Record(j)
 		}
 	}
 	if record.Complete() {
