--- a/internal/logkey/logkey.go
+++ b/internal/logkey/logkey.go
@@ -11,8 +11,10 @@
 const (
 	keyAttempt             = "attempt"
 	keyPreviousCount       = "before"
+	keyBytes               = "bytes"
 	keyCause               = "cause"
 	keyPredecessorsStopped = "clean"
+	keyCommands            = "commands"
 	keyControllers         = "controllers"
 	keyErr                 = "err"
 	keyHadLeader           = "had_leader"
@@ -59,6 +61,12 @@
 // LastContact is the time at which a heartbeat was last received.
 func LastContact(at time.Time) slog.Attr { return slog.Time(keyLastContact, at) }
 
+// Bytes is the length of a message.
+func Bytes(length int) slog.Attr { return slog.Int(keyBytes, length) }
+
+// Commands is the number of commands in a message to a worker.
+func Commands(count int) slog.Attr { return slog.Int(keyCommands, count) }
+
 // Launches is the number of times that a launch was sent.
 func Launches(count int) slog.Attr { return slog.Int(keyLaunches, count) }
 
--- a/internal/reconcile/comparison.go
+++ b/internal/reconcile/comparison.go
@@ -77,6 +77,9 @@
 	// launches in the next response too.
 	if !c.commands.Deferred() {
 		c.launchTasks()
+	} else {
+		r.node.Log.Info("commands deferred", logkey.Host(heartbeat.Host), logkey.Commands(len(c.commands.Commands())),
+			logkey.Tasks(len(heartbeat.Tasks)), logkey.Bytes(heartbeat.EncodedBytes()))
 	}
 	return c.commands.Commands()
 }
