A stop does not overtake a more urgent one that did not fit

Cause: a command that did not fit into a message was left out, and shorter, less urgent ones behind it were still selected, so that a cancelled task could wait for the next message while another task was stopped.

Change: once a stop is left out, no less urgent one is sent.

Evidence: TestStopDoesNotOvertakeMoreUrgentOne fails without the condition.

--- a/internal/agent/command_set.go
+++ b/internal/agent/command_set.go
@@ -87,14 +87,18 @@
 // Deferred reports whether stop or clear commands were left out of the message.
 func (s *CommandSet) Deferred() bool { return s.deferred }
 
-// SelectStops selects the added stop commands that fit, and reports whether there are any.
+// SelectStops selects the added stop commands that fit, and reports whether there are any. No command
+// is sent before a more urgent one that does not fit.
 func (s *CommandSet) SelectStops() bool {
 	slices.SortStableFunc(s.stops, func(a, b stopRequest) int {
 		return cmp.Or(cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.command.Task, b.command.Task))
 	})
+	leastUrgent := StopCommitted
 	for i := range s.stops {
-		if !s.selectStop(&s.stops[i]) {
+		stop := &s.stops[i]
+		if stop.urgency > leastUrgent || !s.selectStop(stop) {
 			s.deferred = true
+			leastUrgent = min(leastUrgent, stop.urgency)
 		}
 	}
 	return len(s.selected) > 0
--- a/internal/agent/command_set_test.go
+++ b/internal/agent/command_set_test.go
@@ -147,6 +147,18 @@
 	})
 }
 
+// Guards against a stop that overtakes a more urgent one because it is shorter and still fits.
+func TestStopDoesNotOvertakeMoreUrgentOne(t *testing.T) {
+	set, graceS := NewCommandSet(New(3, time.Unix(0, 0), time.Unix(0, 0)), &api.Heartbeat{}, time.Unix(0, 0)), 0.0
+	set.messageBytes = 120 // enough for the second command only
+	for urgency, name := range []string{StopRemoved: strings.Repeat("1", 80), StopCommitted: "2"} {
+		set.AddStop(api.Command{Action: api.Stop, Task: name, Attempt: 1, GraceS: &graceS}, Urgency(urgency), true)
+	}
+	if set.SelectStops() || !set.Deferred() {
+		t.Errorf("commands %s, deferred %t; want none, true", api.MustMarshal(set.Commands()), set.Deferred())
+	}
+}
+
 // checkMessage checks the length of a message and the order of its stops.
 func checkMessage(t *rapid.T, worker *Agent, set *CommandSet, tasks []reportedTask) {
 	batch := api.CommandBatch{Token: worker.Token(), AgentEpoch: 1, Commands: set.Commands()}
